Spread calls to discovery over the fleet and back off after failures

All 40 fronts called discovery at one time and again 0.25 s after each failure. It takes about 0.16 s a list, gives a call up after 2 s and still works it off, so the storm kept it from answering anyone:

2.626 discovery_lost ... ConnectionResetError(104, 'Connection reset by peer') (25 fronts) 4.878 discovery_lost ... ClientResponseError: 503, message='Service Unavailable' 16.139, 16.393, 16.647, 16.900 ... the same, 2,369 lines in 30 s

Calls now fall anywhere within a spread that grows with the fleet and doubles with each failure. Where the list is shared, the old copy makes a front ready.

--- a/cleatyoke/__main__.py
+++ b/cleatyoke/__main__.py
@@ -83,16 +83,21 @@
         loop.add_signal_handler(number, stop.set)
     core, directory = Core(config.settings), Directory(config.zones)
     boxes = Boxes(directory, config.dial_timeout, config.idle_close, config.shares.boxes)
-    discovery = Discovery(config.discovery, directory, core.tell)
+    callers = config.settings.hosts if config.settings.must_watch else 1  # of one discovery, no agent of ours
+    discovery = Discovery(config.discovery, directory, core.tell, callers, config.seed)
     if config.known:
         try:
             discovery.take(read_listing(config.known), api.ListKind.OLD_COPY)
         except BadMessage as error:
             log.warning("known_list_skipped", why=str(error))
     began = loop.time()
-    front = Front(
-        config, core, boxes, lambda: discovery.heard.is_set() or loop.time() - began > FIRST_WORD
-    )
+
+    def ready() -> bool:
+        """The list is known: by discovery's word or, where that comes in turn, by the old copy."""
+        turn = callers > 1 and bool(directory.boxes)
+        return turn or discovery.heard.is_set() or loop.time() - began > FIRST_WORD
+
+    front = Front(config, core, boxes, ready)
     discovery.start()
 
     def reload() -> None:
@@ -114,7 +119,10 @@
         raise BadConfig(f"listen: {error}") from error
     gc.collect()
     gc.freeze()  # what the start made stays; later collections pass over it
-    log.info("ready", name=config.name, listen=front.address, nodes=len(directory.boxes))
+    log.info(
+        "ready", name=config.name, listen=front.address, nodes=len(directory.boxes), callers=callers,
+        hosts=config.settings.hosts,
+    )  # fmt: skip
     await stop.wait()
     log.info("leaving", open=len(core.calls))
     last = config.notice() - EXIT
--- a/cleatyoke/net/discovery.py
+++ b/cleatyoke/net/discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Callable
 
 import aiohttp
@@ -14,19 +15,31 @@
 from cleatyoke.net.messages import BadMessage, decode_listing
 
 SILENCE = 5.0  # seconds without a line, where an empty one comes every two: the watch is dead
-PAUSE = 0.25  # before the next try
 FETCH = 1.0  # seconds for the whole list, of which the agent has what it has at once
+PAUSE = 0.25  # the least spread of a next call
+EACH = 0.15  # seconds of that spread for each front, where one service hears all: about what a list takes
+MOST_PAUSE = 12.0  # the most of that spread, however large the fleet and however many calls failed
 MOST_LINE = 1 << 20
 log = structlog.get_logger()
 
 
+def spread(failures: int, callers: int) -> float:
+    """Seconds within which the next call falls, anywhere: twice as many after each failure in a row.
+
+    Guards discovery: what ends one watch ends all, and a fleet that comes back at once, or as fast as it is
+    turned away, keeps the service at work on calls that nobody waits for any more."""
+    return min(MOST_PAUSE, max(PAUSE, EACH * callers) * 2.0 ** min(failures, 16))
+
+
 class Discovery:
     """Keeps the directory, and through it the policy, told: by one watch, or amid a move by two."""
 
     def __init__(
-        self, address: Address, directory: Directory, tell: Callable[[api.Event], None]
-    ) -> None:
+        self, address: Address, directory: Directory, tell: Callable[[api.Event], None], callers: int = 1,
+        seed: int = 0,
+    ) -> None:  # fmt: skip
         self.address, self.directory, self.tell = address, directory, tell
+        self.callers, self.dice = callers, random.Random(seed)  # how many fronts call the same service
         self.heard = asyncio.Event()  # something, in this life
         self.watches: list[Watch] = []  # the last one is on the address that counts
 
@@ -36,8 +49,14 @@
         self.tell(api.NodeList(kind or whole, self.directory.apply(listing)))
 
     def start(self) -> None:
-        """Watch; an old copy of the list counts, as its versions are this agent's."""
-        self.watches.append(Watch(self, self.address, self.directory.version))
+        """Watch; an old copy of the list counts, as its versions are this agent's. Who has one and shares the
+        service takes a turn: all fronts may have started at one time."""
+        turn = self.pause(0) if self.directory.boxes and self.callers > 1 else 0.0
+        self.watches.append(Watch(self, self.address, self.directory.version, turn))
+
+    def pause(self, failures: int) -> float:
+        """Seconds until the next call, after so many in a row that brought no list."""
+        return self.dice.random() * spread(failures, self.callers)
 
     def move(self, address: Address) -> None:
         """Watch another agent. The whole list comes first, as the old one's versions are nothing to it. Until
@@ -58,13 +77,17 @@
 class Watch:
     """The watch on one agent, kept up for ever. ``version`` is that agent's; None asks for the whole list."""
 
-    def __init__(self, owner: Discovery, address: Address, version: int | None) -> None:
+    def __init__(
+        self, owner: Discovery, address: Address, version: int | None, turn: float = 0.0
+    ) -> None:
         host = f"[{address.host}]" if ":" in address.host else address.host
         self.url, self.version = f"http://{host}:{address.port}/discovery/hosts", version
+        self.turn, self.failures = turn, 0  # seconds until the first call; calls in a row without a line
         self.owner, self.task = owner, asyncio.create_task(self.run())
 
     async def run(self) -> None:
         """Where a change may have been missed, the whole list comes first."""
+        await asyncio.sleep(self.turn)
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=FETCH, sock_read=SILENCE)
         async with aiohttp.ClientSession(
             timeout=timeout, cookie_jar=aiohttp.DummyCookieJar(), read_bufsize=MOST_LINE
@@ -80,8 +103,10 @@
                     self.version = None  # the line may have held a change: take the whole list
                 except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
                     why = f"{type(error).__name__}: {error}"
-                    log.warning("discovery_lost", address=self.url, why=why)
-                await asyncio.sleep(PAUSE)
+                    log.warning("discovery_lost", address=self.url, why=why, failures=self.failures)
+                pause = self.owner.pause(self.failures)
+                self.failures += 1
+                await asyncio.sleep(pause)
 
     async def fetch(self, session: aiohttp.ClientSession) -> None:
         async with asyncio.timeout(FETCH), session.get(self.url, raise_for_status=True) as response:
@@ -93,6 +118,9 @@
         params = {"watch": "1", "after": str(self.version)}
         async with session.get(self.url, params=params, raise_for_status=True) as response:
             while line := await response.content.readline():
+                if self.failures or not self.owner.heard.is_set():
+                    log.info("discovery_heard", address=self.url, failures=self.failures, bytes=len(line))
+                self.failures = 0
                 self.owner.heard.set()
                 if text := line.strip():
                     self.take(decode_listing(text))
