Log a status line every two seconds: why requests are held back or given up

The log held nothing of what the policy did. A line of figures now says what came, was sent inside and beyond the reserve, how attempts ended, why requests were given up, and the state of nodes, connections, list, loop and CPU.

--- a/cleatyoke/__main__.py
+++ b/cleatyoke/__main__.py
@@ -117,11 +117,15 @@
         files = await FileService.start(config, core, directory)
     except OSError as error:
         raise BadConfig(f"listen: {error}") from error
+    core.reports += [boxes.figures, discovery.figures, front.figures]
+    core.watch_self()
     gc.collect()
     gc.freeze()  # what the start made stays; later collections pass over it
     log.info(
         "ready", name=config.name, listen=front.address, nodes=len(directory.boxes), callers=callers,
-        hosts=config.settings.hosts,
+        hosts=config.settings.hosts, aims=[kind.aim for kind in config.settings.classes],
+        safety=config.settings.safety, cold_units=config.settings.cold_units, spare=core.policy.spare,
+        retry_after=config.settings.retry_after,
     )  # fmt: skip
     await stop.wait()
     log.info("leaving", open=len(core.calls))
--- a/cleatyoke/core.py
+++ b/cleatyoke/core.py
@@ -21,6 +21,7 @@
 ATTEMPT_MARGIN = 0.04  # an attempt ends this long before the client's deadline, so that the answer beats it
 ANSWER_MARGIN = 0.015  # and the core answers by itself where the policy still has not
 SOONEST = 0.005
+REPORT = 2.0  # seconds between the log's lines on what the host does
 log = structlog.get_logger()
 
 
@@ -75,6 +76,22 @@
         self.events: list[api.Event] = []
         self.bell: asyncio.TimerHandle | None = None
         self.numbered = 0
+        self.lag = 0.0  # the longest that a wake-up of the loop came late since the last report
+        self.reports: list[Callable[[], dict[str, object]]] = []  # what other parts add to a report
+
+    def watch_self(self) -> None:
+        """From now on, a line in the log every few seconds: figures of the program, none of a request."""
+        self.loop.call_at(self.loop.time() + REPORT, self.report, self.loop.time() + REPORT)
+
+    def report(self, due: float) -> None:
+        self.lag = max(self.lag, self.loop.time() - due)
+        figures: dict[str, object] = {"open": len(self.calls), "lag_ms": round(1000 * self.lag, 1)}
+        for part in [self.policy.figures, *self.reports]:
+            figures.update(part())
+        log.info("status", cpu_s=round(time.process_time(), 2), **figures)
+        self.lag = 0.0
+        due = max(self.loop.time(), due + REPORT)
+        self.loop.call_at(due, self.report, due)
 
     def now(self) -> float:
         """Unix time, by the monotonic clock."""
--- a/cleatyoke/net/boxes.py
+++ b/cleatyoke/net/boxes.py
@@ -129,6 +129,7 @@
         self.keep = idle_close * IDLE_SHARE
         self.pools: dict[int, Pool] = {}
         self.open = 0  # connections, those that come up included
+        self.dials, self.dial_failures = 0, 0  # since the last report
         directory.watchers.append(self.changed)
 
     def changed(self, node: int) -> None:
@@ -198,11 +199,21 @@
                 if other.idle:
                     self.drop(other, other.idle[0])
                     break
-        async with asyncio.timeout(self.dial_timeout):
-            loop = asyncio.get_running_loop()
-            _, line = await loop.create_connection(Line, pool.address.host, pool.address.port)
+        self.dials += 1
+        try:
+            async with asyncio.timeout(self.dial_timeout):
+                loop = asyncio.get_running_loop()
+                _, line = await loop.create_connection(Line, pool.address.host, pool.address.port)
+        except (OSError, TimeoutError):
+            self.dial_failures += 1
+            raise
         return line
 
+    def figures(self) -> dict[str, object]:
+        """For the log: connections, and those that were dialled since the last call."""
+        dials, failures, self.dials, self.dial_failures = self.dials, self.dial_failures, 0, 0
+        return {"connections": self.open, "dials": dials, "dial_failures": failures}
+
     def give_back(self, pool: Pool, line: Line) -> None:
         loop = asyncio.get_running_loop()
         line.rested_at = loop.time() + REST
--- a/cleatyoke/net/discovery.py
+++ b/cleatyoke/net/discovery.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import time
 from collections.abc import Callable
 
 import aiohttp
@@ -41,11 +42,13 @@
         self.address, self.directory, self.tell = address, directory, tell
         self.callers, self.dice = callers, random.Random(seed)  # how many fronts call the same service
         self.heard = asyncio.Event()  # something, in this life
+        self.taken_at = time.monotonic()  # when the latest word on the list came
         self.watches: list[Watch] = []  # the last one is on the address that counts
 
     def take(self, listing: Listing, kind: api.ListKind | None = None) -> None:
         """A list goes to the directory and, in the same turn, to the policy."""
         whole = api.ListKind.FULL if listing.whole else api.ListKind.CHANGES
+        self.taken_at = time.monotonic()
         self.tell(api.NodeList(kind or whole, self.directory.apply(listing)))
 
     def start(self) -> None:
@@ -69,6 +72,14 @@
         while self.watches and self.watches[0] is not watch:
             self.watches.pop(0).task.cancel()
 
+    def figures(self) -> dict[str, object]:
+        """For the log: which list counts, since when, and whether its watch fails."""
+        return {
+            "list": self.directory.version,
+            "list_age_s": round(time.monotonic() - self.taken_at, 1),
+            "watch_failures": self.watches[-1].failures if self.watches else None,
+        }
+
     def stop(self) -> None:
         for watch in self.watches:
             watch.task.cancel()
--- a/cleatyoke/net/server.py
+++ b/cleatyoke/net/server.py
@@ -240,6 +240,10 @@
             case Failed():
                 return web.Response(status=502)
 
+    def figures(self) -> dict[str, object]:
+        """For the log: the clients' connections."""
+        return {"clients": len(self.clients), "clients_idle": len(self.idle)}
+
     def leave(self, last: float) -> None:
         """The process is to end: what is taken from now on is answered within so many seconds. Connections
         are kept while it still serves, as their clients could come back by no other."""
--- a/cleatyoke/rules.py
+++ b/cleatyoke/rules.py
@@ -8,7 +8,7 @@
 
 import math
 import random
-from collections import defaultdict, deque
+from collections import Counter, defaultdict, deque
 from heapq import heapify, heappop, heapreplace
 
 from cleatyoke import api
@@ -56,6 +56,7 @@
         self.asks = list(self.bounds)
         self.history: list[list[tuple[float, float]]] = [[] for _ in range(count)]  # bound, performance
         self.waited, self.answered = [0.0] * count, [0] * count
+        self.tally: Counter[str] = Counter()  # what was done and why, for the log of the host
         self.agenda = Agenda()
         self.touched: dict[int, Node] = {}  # nodes that may have something new to choose
         self.doubtful: list[Request] = []  # if still held after this step, is there any use in waiting?
@@ -94,6 +95,17 @@
             self.actions.append(api.Wake(due - self.now, 0))
         return self.actions
 
+    def figures(self) -> dict[str, object]:
+        """What a log should hold of the time since the last call: counts, and the state of the nodes."""
+        tally, self.tally = dict(sorted(self.tally.items())), Counter()
+        nodes = list(self.holder.values())
+        cold = sum(node.up_since > 0 and self.now - node.up_since < self.safety.ramp for node in nodes)
+        held, out = sum(map(len, self.held.values())), sum(sum(node.out) for node in nodes)
+        depth, spare = sum(node.depth for node in nodes), sum(node.spare for node in nodes)
+        return {**tally, "held": held, "out": out, "nodes": len(nodes), "cold": cold, "depth": round(depth),
+                "spare": round(spare), "on_hold": sum(node.hold_until > self.now for node in nodes),
+                "bounds": [round(bound, 2) for bound in self.bounds]}
+
     def look(self, subject: Request | Node | None) -> None:
         if subject is None:
             self.actions.append(api.Watch())
@@ -238,7 +250,8 @@
         return self.now - min(0.0, store.level) / rate if rate else math.inf
 
     def send(self, request: Request, node: Node) -> None:
-        if not self.sure(request, node):
+        sure = self.sure(request, node)
+        if not sure:
             price = self.dearest / self.worth(request, node) / max(STEP, self.bounds[request.index])
             node.shares[request.ask.volume].level -= request.units * price
         request.full = still_due(request)
@@ -247,6 +260,7 @@
             request.volume.limit.level -= request.units
         elif self.safety.extra_window is not None:
             self.extras.append(self.now)
+        self.tally["sent" if sure else "sent_spare"] += 1
         self.held[request.cell].remove(request)
         request.out[request.sends] = node, self.now
         self.agenda.add(self.now + self.patience(request, node, -math.inf), request)
@@ -258,6 +272,7 @@
     # Events
 
     def on_arrival(self, event: api.Arrival) -> None:
+        self.tally["arrived"] += 1
         if self.safety.extra_window is not None:
             self.taken.append(self.now)
             self.touch(-1)  # the budget has grown, so that held repeats may go
@@ -304,6 +319,7 @@
     def on_ended(self, event: Ended, request: Request) -> None:
         if event.attempt not in request.out:
             return
+        self.tally[event.outcome.value] += 1
         node, sent = request.out.pop(event.attempt)
         node.out[request.index] -= 1
         self.judge_node(node, event, request, sent)
@@ -323,7 +339,7 @@
             once = request.ran and request.kind.repeat is Repeat.ONCE
             late = event.outcome is Outcome.CANCELLED and not self.timely(request, node)
             if once or late or request.sends >= self.settings.max_attempts:
-                self.give_up(request)
+                self.give_up(request, "once" if once else "late" if late else "attempts")
             self.doubtful.append(request)
         self.forget(request)
 
@@ -476,12 +492,23 @@
             hopeless = ready_at >= request.deadline or not self.within_group(request, node)
         late_at = min(late_at, request.deadline - MARGIN)
         if late_at <= self.now or hopeless:
-            self.give_up(request, ready_at - self.now)
+            self.give_up(request, self.held_by(request, node), ready_at - self.now)
         else:
             self.agenda.add(late_at, request)
 
-    def give_up(self, request: Request, wait: float = 0.0) -> None:
+    def held_by(self, request: Request, node: Node | None) -> str:
+        """What kept a request from its node longest: for the log."""
+        if not node:
+            return "no_node"
+        waits = {"hold": node.hold_until, "cold": self.bears_at(node), "spare": self.spare_at(request, node),
+                 "limit": self.within_limit_at(request)}
+        longest = max(waits, key=lambda name: waits[name])
+        free = sum(node.out) < int(node.depth)
+        return longest if waits[longest] > self.now else "late" if free else "depth"
+
+    def give_up(self, request: Request, why: str, wait: float = 0.0) -> None:
         """The final answer, at once: where a repeat is harmless a refusal that says when to come back."""
+        self.tally[f"given_up_{why}_{'due' if still_due(request) >= request.units else 'beyond'}"] += 1
         safe = {Repeat.FREE: True, Repeat.KEYED: request.kind.scope is Scope.ALL, Repeat.ONCE: False}
         refusal = api.Refuse(request.id, min(self.settings.retry_after, wait))
         self.close(request, refusal if not request.ran or safe[request.kind.repeat] else api.Fail(request.id))
