Learn the spare rate from the answers of all nodes, not of each node alone

With 40 fronts a pair of front and node has one answer in seven seconds, and the spare rate grew only by those: requests were refused while nodes stood idle.

A node silent for over a second now shares what the others' answers said.

A test that pins the spare rate by hand now pins the shared measure as well.

--- a/cleatyoke/rules.py
+++ b/cleatyoke/rules.py
@@ -40,6 +40,7 @@
         weights = sum(plan.weight for plan in settings.plans) / count or 1.0
         self.spare = sum(plan.rate for plan in settings.plans) / weights or 1.0  # also the least
         self.dearest = max(self.worths) * max(plan.worth for plan in settings.plans) * settings.within_share
+        self.ease, self.eased = 1.0, math.inf  # how the spare rate goes by all nodes' answers; when last
         self.pace = 0.0  # seconds of service a unit at any node: what a new one is taken to need
         self.requests: dict[str, Request] = {}
         self.held: dict[int, list[Request]] = {}  # cell: requests waiting for it; -1: for any
@@ -103,7 +104,9 @@
         held, out = sum(map(len, self.held.values())), sum(sum(node.out) for node in nodes)
         depth, spare = sum(node.depth for node in nodes), sum(node.spare for node in nodes)
         return {**tally, "held": held, "out": out, "nodes": len(nodes), "cold": cold, "depth": round(depth),
-                "spare": round(spare), "on_hold": sum(node.hold_until > self.now for node in nodes),
+                "spare": round(spare), "ease": round(self.ease, 1),
+                "queued_ms": round(1000 * sum(node.queued for node in nodes)),
+                "on_hold": sum(node.hold_until > self.now for node in nodes),
                 "bounds": [round(bound, 2) for bound in self.bounds]}
 
     def look(self, subject: Request | Node | None) -> None:
@@ -244,11 +247,18 @@
         new = request.cell == -1
         places = request.hosts * (len(self.holder) if new else 1)
         wanted = self.worth(request, node) > 0 and (not new or self.timely(request, node))
-        rate = node.spare * self.settings.plans[request.ask.plan].weight / places * wanted
+        rate = self.spare_of(node) * self.settings.plans[request.ask.plan].weight / places * wanted
         store = node.shares.setdefault(request.ask.volume, Store(rate, self.now))
         store.fill(rate, rate, self.now)
         return self.now - min(0.0, store.level) / rate if rate else math.inf
 
+    def spare_of(self, node: Node) -> float:
+        """A node's spare rate; one not heard of for long shares what the others' answers said meanwhile.
+
+        Guards large fleets: each host hears of each node too seldom to learn from it alone."""
+        missed = self.ease / node.eased if self.now - node.answered > 1 else 1.0
+        return clamp(node.spare * missed, min(node.spare, self.spare), self.spare * SPARE_MOST)
+
     def send(self, request: Request, node: Node) -> None:
         sure = self.sure(request, node)
         if not sure:
@@ -367,13 +377,16 @@
         """Bound the node's depth by its own latency: gently up while short, down at once when it fails. Where
         one that was sent later is answered already, an answer was lost, and the node has not failed."""
         if event.outcome is Outcome.SERVED:
-            node.latest = max(node.latest, sent)
+            node.latest, node.spare = max(node.latest, sent), self.spare_of(node)
             gap, node.answered, node.failures = min(1.0, self.now - node.answered), self.now, 0
             self.tell_service_from_queue(node, event.spent, request.units, max(GAIN, gap / 2))
             node.done_units += request.units
             if node.queued < self.queue_aim or node.depth <= 1:
-                spare = node.spare * clamp(self.queue_aim / max(node.queued, 1e-9), 0.1, 10.0) ** gap
-                node.spare = clamp(spare, self.spare, self.spare * SPARE_MOST)
+                change = clamp(self.queue_aim / max(node.queued, 1e-9), 0.1, 10.0)
+                node.spare = clamp(node.spare * change**gap, self.spare, self.spare * SPARE_MOST)
+                since = clamp(self.now - self.eased, 0.0, 1.0)
+                self.ease, self.eased = clamp(self.ease * change**since, 1.0, SPARE_MOST), self.now
+            node.eased = self.ease
             if node.queued > self.queue_aim:
                 node.depth = max(1.0, node.depth - 0.5 / node.depth)
             elif sum(node.out) + 1 >= int(node.depth):
--- a/cleatyoke/state.py
+++ b/cleatyoke/state.py
@@ -38,6 +38,7 @@
         self.depth, self.answered = depth, 0.0
         self.queued, self.pace = queued, 0.0  # mean wait there, and seconds of service a unit
         self.spare = spare  # units a second by weight that a volume may send beyond its reserve
+        self.eased = 1.0  # the host's own measure of ease when this node last answered
         self.shares: dict[int, Store] = {}  # volume: its part of the spare rate
         self.out = [0] * classes
         self.split = [1] * classes
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -323,6 +323,7 @@
         for number in range(100):
             for node in host.policy.nodes.values():
                 node.spare = 2.0
+            host.policy.ease = 1.0
             host.ask(f"r{number}", cell=-1, units=2.0)
             host.run_until(host.now + 0.2)
             for name in [name for name, held in host.policy.requests.items() if held.out]:
@@ -335,3 +336,19 @@
     assert host.ask("held here", cell=1) == [api.Send("held here", 1)]
     assert host.ask("late", cell=-1) == []
     assert api.Refuse("late") in host.run_until(host.now + 0.52)
+
+
+def test_a_host_of_many_nodes_learns_its_spare_rate_from_all_of_them() -> None:
+    def wait(seconds_each: float) -> float:
+        """How long a volume waits for its second go at a node that this host has never heard of."""
+        cells = range(1, 61)
+        host = Host(settings(plans=[plan_spec(reserve=0.0)], hosts=40), [entry(cell, cell) for cell in cells])
+        for cell in cells[:-1]:  # each node answers once: a tenth of a second of this host's life each
+            host.ask(f"r{cell}", cell=cell, volume=cell)
+            host.run_until(host.now + 0.1)
+            host.end(f"r{cell}", api.Outcome.SERVED, node=cell, spent=seconds_each if cell > 1 else 0.02)
+        host.ask("first", cell=60, units=2000.0)
+        request, node = host.policy.requests["first"], host.policy.nodes[60]
+        return host.policy.spare_at(request, node) - host.now
+
+    assert wait(0.02) < wait(0.9) / 30
