--- a/cleatyoke/rules.py
+++ b/cleatyoke/rules.py
@@ -58,6 +58,7 @@
         self.history: list[list[tuple[float, float]]] = [[] for _ in range(count)]  # bound, performance
         self.waited, self.answered = [0.0] * count, [0] * count
         self.tally: Counter[str] = Counter()  # what was done and why, for the log of the host
+        self.failing: Counter[int] = Counter()  # nodes by attempts that were not served
         self.agenda = Agenda()
         self.touched: dict[int, Node] = {}  # nodes that may have something new to choose
         self.doubtful: list[Request] = []  # if still held after this step, is there any use in waiting?
@@ -99,7 +100,7 @@
     def figures(self) -> dict[str, object]:
         """What a log should hold of the time since the last call: counts, and the state of the nodes."""
         tally, self.tally = dict(sorted(self.tally.items())), Counter()
-        nodes = list(self.holder.values())
+        nodes, failing, self.failing = list(self.holder.values()), self.failing, Counter()
         cold = sum(node.up_since > 0 and self.now - node.up_since < self.safety.ramp for node in nodes)
         held, out = sum(map(len, self.held.values())), sum(sum(node.out) for node in nodes)
         depth, spare = sum(node.depth for node in nodes), sum(node.spare for node in nodes)
@@ -107,7 +108,7 @@
                 "spare": round(spare), "ease": round(self.ease, 1),
                 "queued_ms": round(1000 * sum(node.queued for node in nodes)),
                 "on_hold": sum(node.hold_until > self.now for node in nodes),
-                "bounds": [round(bound, 2) for bound in self.bounds]}
+                "failing": failing.most_common(3), "bounds": [round(bound, 2) for bound in self.bounds]}
 
     def look(self, subject: Request | Node | None) -> None:
         if subject is None:
@@ -289,7 +290,7 @@
         plan, hosts = self.settings.plans[event.plan], int(clamp(event.hosts, 1, self.hosts))
         part = self.reserve_here(event.volume, plan.reserve, hosts)
         ceiling = part + self.settings.largest if part else 0.0
-        volume = self.volumes.setdefault(event.volume, Volume(self.now, ceiling))
+        volume = self.volumes.setdefault(event.volume, Volume(self.now, ceiling, self.born))
         volume.reserve.fill(part, ceiling, self.now)
         request = Request(event, self.settings.classes[event.class_index], hosts, volume, self.now)
         self.requests[request.id] = request
@@ -337,6 +338,7 @@
             self.hear_of_others(request, node, event.elsewhere)
         self.touch(node.cell)
         if event.outcome is not Outcome.SERVED:
+            self.failing[node.id] += 1
             request.volume.due[int(request.arrived)] += request.full
             if event.outcome not in NEVER_RAN:
                 request.ran.append((sent, node))
@@ -472,7 +474,7 @@
         return self.now if len(self.extras) + 1 <= allowed else oldest + safety.extra_window
 
     def within_limit_at(self, request: Request) -> float:
-        """Limit: this host's even part of the store, empty at first as an earlier life may have used it."""
+        """Limit: this host's even part of the store, empty as it starts: an earlier life may have used it."""
         plan = self.settings.plans[request.ask.plan]
         if not plan.limit or request.sends:
             return self.now
--- a/cleatyoke/state.py
+++ b/cleatyoke/state.py
@@ -64,8 +64,8 @@
 class Volume:
     """This host's part of a volume's reserve and limit."""
 
-    def __init__(self, now: float, reserve: float) -> None:
-        self.reserve, self.limit = Store(reserve, now), Store(0.0, now)
+    def __init__(self, now: float, reserve: float, born: float) -> None:
+        self.reserve, self.limit = Store(reserve, now), Store(0.0, born)  # unused since the host's start
         self.others: dict[int, tuple[float, float]] = {}  # cell: units a second by other hosts, when told
         self.due: defaultdict[int, float] = defaultdict(float)  # second of arrival: units still due in full
 
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -387,3 +387,11 @@
     host.policy.nodes[1].queued = 0.1
     assert host.ask("short", deadline=host.now + 0.1) == [api.Refuse("short")]
     assert host.ask("long", deadline=host.now + 0.2) == [api.Send("long", 1)]
+
+
+def test_the_part_of_a_limit_fills_from_the_host_s_start_and_not_from_a_volume_s_first_request() -> None:
+    host = Host(settings(plans=[plan_spec(limit=1.0, limit_burst=6.0)]), [entry(1, 1)])
+    assert not any(isinstance(action, api.Send) for action in host.ask("early", units=4.0))
+    host.run_until(host.now + 10.0)
+    assert host.ask("later", volume=2, units=4.0) == [api.Send("later", 1)]
+    assert not any(isinstance(action, api.Send) for action in host.ask("over", volume=2, units=4.0))
