--- a/cleatyoke/rules.py
+++ b/cleatyoke/rules.py
@@ -108,7 +108,8 @@
                 "spare": round(spare), "ease": round(self.ease, 1),
                 "queued_ms": round(1000 * sum(node.queued for node in nodes)),
                 "on_hold": sum(node.hold_until > self.now for node in nodes),
-                "failing": failing.most_common(3), "bounds": [round(bound, 2) for bound in self.bounds]}
+                "pace_ms": round(1000 * self.pace), "failing": failing.most_common(3),
+                "bounds": [round(bound, 2) for bound in self.bounds]}
 
     def look(self, subject: Request | Node | None) -> None:
         if subject is None:
@@ -484,13 +485,15 @@
 
     def bears_at(self, node: Node) -> float:
         """Cold nodes: in debt for each send until this host's part of what the node bears has paid it off: by
-        its usual rate there, as all hosts' add up to a warm node's, or an even part of the stated units."""
+        its usual rate there, as all hosts' add up to a warm node's, or an even part of the stated units or of
+        what one core serves, by the pace of all nodes: a host that has just started knows no usual rate."""
         safety, age = self.safety, self.now - node.up_since
         if node.up_since <= 0 or age >= safety.ramp:
             return self.now
         share = safety.cold_from + (1 - safety.cold_from) * max(0.0, age - safety.tip_after) / safety.ramp
-        usual = self.usual.get(node.cell, 0.0) * share * safety.tip_multiple
-        rate = max(usual, self.settings.cold_units / safety.tip_after / self.hosts, 1e-9)
+        even = 1 / self.pace / self.hosts if self.pace else 0.0
+        warm = max(self.usual.get(node.cell, 0.0), even) * share * safety.tip_multiple
+        rate = max(warm, self.settings.cold_units / safety.tip_after / self.hosts, 1e-9)
         node.cold.fill(rate, 0.0, self.now)
         return self.now - node.cold.level / rate
 
