--- a/cleatyoke/rules.py
+++ b/cleatyoke/rules.py
@@ -494,8 +494,8 @@
         even = 1 / self.pace / self.hosts if self.pace else 0.0
         warm = max(self.usual.get(node.cell, 0.0), even) * share * safety.tip_multiple
         rate = max(warm, self.settings.cold_units / safety.tip_after / self.hosts, 1e-9)
-        node.cold.fill(rate, 0.0, self.now)
-        return self.now - node.cold.level / rate
+        node.cold.fill(rate, self.settings.mean / 2, self.now)  # under a request: none follows at once
+        return self.now + max(0.0, -node.cold.level) / rate
 
     def keep_or_give_up(self, request: Request) -> None:
         """A held request is kept while it can be in time; once late it goes at once, or is given up.
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -415,3 +415,16 @@
     # the mean share over ten seconds is 0.54 at a ramp of 10 s from 0.2; twice that of 100 units a second
     assert 10 <= units(40) <= 10 * 2 * 0.6 * 100 / 40 + 1
     assert units(400) <= units(40) / 4
+
+
+def test_a_cold_node_s_part_does_not_lapse_while_no_request_waits() -> None:
+    def second_goes(rest: float) -> bool:
+        host = Host(settings([class_spec(aim=0.1)], hosts=2, cold_units=2.0, mean=2.0), [entry(1, 1)])
+        host.step(api.NodeList(api.ListKind.CHANGES, [entry(1, 1, up_since=host.now)]))
+        host.run_until(host.now + rest)  # at one unit a second, after a debt of two units at the most
+        first = host.ask("first", units=2.0)
+        host.run_until(host.now + 1.2)
+        return first == [api.Send("first", 1)] and host.ask("second", units=2.0) == [api.Send("second", 1)]
+
+    assert second_goes(3.1), "one unit of credit and one paid off"
+    assert not second_goes(0.8), "little of it has come together so soon"
