--- a/cleatyoke/rules.py
+++ b/cleatyoke/rules.py
@@ -200,10 +200,13 @@
                 heappop(queue)
 
     def choose(self, node: Node) -> Request | None:
-        """The held request worth most here; classes within their split go before idle slots are lent."""
-        held = self.held.get(node.cell, []) + self.held.get(-1, [])
-        if not held or sum(node.out) >= int(node.depth):
-            return None
+        """The held request worth most here; classes within their split go before idle slots are lent.
+
+        What is in time and in its reserve has as many slots again. Guards reserves where a host has a slot or
+        two at a node, as in a large fleet: one long request beyond its share would bar all that is due."""
+        held, taken = self.held.get(node.cell, []) + self.held.get(-1, []), sum(node.out)
+        if taken >= int(node.depth):
+            held = [one for one in held if self.sure(one, node)] if taken < 2 * int(node.depth) else []
         best, best_rank, again = None, (False, 0.0, 0.0), math.inf
         for request in held:
             in_split = node.out[request.index] < node.split[request.index]
