--- a/cleatyoke/rules.py
+++ b/cleatyoke/rules.py
@@ -489,12 +489,13 @@
     def bears_at(self, node: Node) -> float:
         """Cold nodes: in debt for each send until this host's part of what the node bears has paid it off: by
         its usual rate there, as all hosts' add up to a warm node's, or an even part of the stated units or of
-        what one core serves, by the pace of all nodes: a host that has just started knows no usual rate."""
+        what a core or two serve, by all nodes' pace: a host that has just started knows no usual rate."""
         safety, age = self.safety, self.now - node.up_since
         if node.up_since <= 0 or age >= safety.ramp:
             return self.now
         share = safety.cold_from + (1 - safety.cold_from) * max(0.0, age - safety.tip_after) / safety.ramp
-        even = 1 / self.pace / self.hosts if self.pace else 0.0
+        cores = 1 + age / safety.ramp  # it bears twice what it can do, and few hosts ask all nodes at a time
+        even = cores / self.pace / self.hosts if self.pace else 0.0
         warm = max(self.usual.get(node.cell, 0.0), even) * share * safety.tip_multiple
         rate = max(warm, self.settings.cold_units / safety.tip_after / self.hosts, 1e-9)
         node.cold.fill(rate, self.settings.mean / 2, self.now)  # under a request: none follows at once
