Call an agent of the front's own again within a second, however often it failed

The back-off of shared discovery also let a lone front wait for up to 12 s after an outage of its own agent, where it had been 0.25 s; no other front's calls keep such an agent. Found by reading, no recording shows it; the test does.

--- a/cleatyoke/net/discovery.py
+++ b/cleatyoke/net/discovery.py
@@ -20,6 +20,7 @@
 PAUSE = 0.25  # the least spread of a next call
 EACH = 0.15  # seconds of that spread for each front, where one service hears all: about what a list takes
 MOST_PAUSE = 12.0  # the most of that spread, however large the fleet and however many calls failed
+MOST_ALONE = 1.0  # and where the front has an agent of its own, whom no other front's calls keep
 MOST_LINE = 1 << 20
 log = structlog.get_logger()
 
@@ -29,7 +30,8 @@
 
     Guards discovery: what ends one watch ends all, and a fleet that comes back at once, or as fast as it is
     turned away, keeps the service at work on calls that nobody waits for any more."""
-    return min(MOST_PAUSE, max(PAUSE, EACH * callers) * 2.0 ** min(failures, 16))
+    most = MOST_PAUSE if callers > 1 else MOST_ALONE
+    return min(most, max(PAUSE, EACH * callers) * 2.0 ** min(failures, 16))
 
 
 class Discovery:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -8,7 +8,7 @@
 from cleatyoke import api
 from cleatyoke.config import Address
 from cleatyoke.directory import Directory
-from cleatyoke.net.discovery import MOST_PAUSE, PAUSE, Discovery, spread
+from cleatyoke.net.discovery import MOST_ALONE, MOST_PAUSE, PAUSE, Discovery, spread
 from tests.wire import DiscoveryAgent, Peer, instance, listed
 
 NOWHERE = Address("127.0.0.1", 1)
@@ -41,6 +41,10 @@
     assert spread(10**6, 10**6) == MOST_PAUSE
 
 
+def test_an_agent_of_its_own_is_called_again_soon_however_often_it_failed() -> None:
+    assert spread(10**6, 1) == MOST_ALONE <= 1.0
+
+
 def test_fronts_that_lose_their_watch_at_once_do_not_come_back_at_once() -> None:
     pauses = sorted(discovery(40, seed).pause(0) for seed in range(40))
     width = spread(0, 40)
