--- a/cleatyoke/rules.py
+++ b/cleatyoke/rules.py
@@ -514,7 +514,8 @@
             hopeless = ready_at >= request.deadline or not self.within_group(request, node)
         late_at = min(late_at, request.deadline - MARGIN)
         if late_at <= self.now or hopeless:
-            self.give_up(request, self.held_by(request, node), ready_at - self.now)
+            busy = self.queue_time(node) if node and sum(node.out) >= int(node.depth) else 0.0
+            self.give_up(request, self.held_by(request, node), max(ready_at - self.now, busy))
         else:
             self.agenda.add(late_at, request)
 
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -430,3 +430,10 @@
 
     assert second_goes(3.1), "one unit of credit and one paid off"
     assert not second_goes(0.8), "little of it has come together so soon"
+
+
+def test_a_refusal_for_want_of_a_slot_says_when_one_is_due() -> None:
+    host = Host(settings(hosts=8, retry_after=0.8), [entry(1, 1)])
+    host.step(*[host.arrival(name, hosts=8) for name in ("first", "second", "waits")])
+    (refusal,) = [one for one in host.run_until(host.now + 0.52) if isinstance(one, api.Refuse)]
+    assert refusal.request == "waits" and 0.0 < refusal.wait <= 0.8
