Let a leaving front take requests while its quickest class can be served

On SIGTERM a front stopped taking requests after 0.75 s of 3.55 s, as it kept twice the longest aim, and its clients have no other front meanwhile:

[14.42] event='leaving' open=1 (ended 3.5 s later)

Most of the failures stay: idle connections still end.

--- a/cleatyoke/__main__.py
+++ b/cleatyoke/__main__.py
@@ -25,7 +25,7 @@
 
 FIRST_WORD = 1.0  # seconds for discovery's first word, after which the old list has to do
 LINGER = 0.75  # seconds after SIGTERM in which everything is accepted at the least
-ANSWERS = 2.0  # times the longest aim: what is kept for what is taken last
+ANSWERS = 2.0  # times the shortest aim: what is kept for what is taken last
 EXIT = 0.15  # seconds kept for the exit itself
 log = structlog.get_logger()
 
@@ -44,6 +44,14 @@
     )
 
 
+def lingers(last: float, aims: list[float]) -> float:
+    """Seconds for which a front that leaves goes on taking requests: while the quickest class can be served.
+
+    Guards the clients of a front that is not back before it is ended: none else serves them meanwhile. What
+    comes of a slower class has its answer by ``last`` all the same."""
+    return max(LINGER, last - ANSWERS * min(aims))
+
+
 class FileService:
     """The front for file commands, where it is on; with VRRP it is open while this instance is master."""
 
@@ -131,7 +139,7 @@
     log.info("leaving", open=len(core.calls))
     last = config.notice() - EXIT
     front.leave(last)
-    linger = max(LINGER, last - ANSWERS * max(kind.aim for kind in config.settings.classes))
+    linger = lingers(last, [kind.aim for kind in config.settings.classes])
 
     async def close_files() -> None:
         await asyncio.sleep(LINGER)
