Ignore a call-off that comes once the attempt's own timer has fired

Seen in reading the core: an attempt's asyncio.Timeout that has fired, but whose task has not run yet, raises RuntimeError when it is rescheduled. Core.step did that for a Cancel of that very turn, outside its guard, so the actions behind it in the batch were dropped and their requests waited for their forced answer. Checked with a probe: the new test forces the two into one turn and shows "Cannot change state of expiring Timeout"; ruled out that call.out is already None then, as the task's finally comes a turn later. At fault: the Cancel case of Core.step.

--- a/cleatyoke/core.py
+++ b/cleatyoke/core.py
@@ -121,8 +121,9 @@
                         call.words.put_nowait(action)
                 case api.Cancel(request, attempt):
                     call = self.calls.get(request)
-                    if call and call.out and attempt == call.attempts - 1:
-                        call.out.reschedule(self.loop.time())
+                    out = call.out if call and attempt == call.attempts - 1 else None
+                    if out and not out.expired():  # its own timer may have fired in this very turn
+                        out.reschedule(self.loop.time())
                 case api.Wake(after, token):
                     if self.bell:
                         self.bell.cancel()
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,102 @@
+"""Crossings on loopback sockets: what comes between two lines of a front; each is forced."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from typing import Any
+from unittest import mock
+
+from cleatyoke import api
+from cleatyoke.core import Ending
+from tests.test_http_front import FrontCase
+from tests.wire import answer
+
+FIELDS = {
+    "Host": "h",
+    "X-Qos": "tile-read",
+    "X-Plan": "public",
+    "X-Expires-In-Ms": "1500",
+    "X-IO": "volume=00000003b4d60021,units=2,shard=0,hosts=1",
+}
+
+
+def request(trace: str, **fields: str) -> bytes:
+    """A read as its client writes it."""
+    every = {**FIELDS, "X-Trace-Id": trace, **{name.replace("_", "-"): text for name, text in fields.items()}}
+    lines = ["GET /api?block=7f3a9c21e0b4d655 HTTP/1.1", *(f"{name}: {text}" for name, text in every.items())]
+    return "\r\n".join([*lines, "", ""]).encode()
+
+
+def reset(client: socket.socket) -> None:
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    client.close()
+
+
+async def silent(trace: str) -> bytes:
+    await asyncio.Event().wait()
+    raise AssertionError
+
+
+async def prompt(trace: str) -> bytes:
+    return answer()
+
+
+class CrossingCase(FrontCase):
+    def connect(self) -> socket.socket:
+        """A client's socket without the loop: what it sends or ends is in the kernel at once."""
+        client = socket.create_connection(("127.0.0.1", self.front.address.port))
+        self.addCleanup(client.close)
+        return client
+
+    async def received(self, client: socket.socket, enough: bytes | None = None) -> bytes:
+        """All that comes, up to the end or to ``enough``; a reset raises."""
+        client.setblocking(False)
+        found, loop = b"", asyncio.get_running_loop()
+        async with asyncio.timeout(5):
+            while part := await loop.sock_recv(client, 65536):
+                found += part
+                if enough and enough in found:
+                    break
+        return found
+
+    def after_dial(self, then: Any) -> Any:
+        """What happens once a connection to a box is up, before another line of the front runs."""
+        real = self.boxes.dial
+
+        async def dial(pool: Any) -> Any:
+            connection = await real(pool)
+            then()
+            return connection
+
+        return mock.patch.object(self.boxes, "dial", dial)
+
+
+class Attempts(CrossingCase):
+    async def test_a_call_off_that_meets_the_attempt_s_own_timer_harms_no_other_request(self) -> None:
+        await self.begin(prompt)
+        arrival = api.Arrival("t", 0, 0, 1, 1, 0, 1.0, self.core.now() + 60, 1)
+        other: asyncio.Queue[Any] = asyncio.Queue()
+
+        async def attempt(node: int) -> Ending[bytes]:
+            call = self.core.calls["t"]
+            assert call.out
+            call.out.reschedule(0.0)  # the timer fires; before this task hears of it, the policy speaks
+            asyncio.get_running_loop().call_soon(self.core.step)
+            await asyncio.sleep(60)
+            raise AssertionError
+
+        def step(now: float, events: list[api.Event]) -> list[api.Action]:
+            if not events:
+                return [api.Cancel("t", 0), api.Refuse("other")]
+            if isinstance(events[0], api.Ended):
+                return [api.Fail("t")]
+            return [api.Send("t", 1)]
+
+        self.core.calls["other"] = mock.Mock(words=other)
+        with mock.patch.object(self.core.policy, "step", step):
+            async with asyncio.timeout(5):
+                await self.core.serve(arrival, attempt)
+                self.assertEqual(await other.get(), api.Refuse("other"))
+        del self.core.calls["other"]
