Answer what was taken before SIGTERM before the process ends

Ruled out: answers lost on closed connections (no loss before the end of a process), SIGKILL (0.15 s later). Cause: only requests that came after SIGTERM had their deadline cut to the notice; those taken before kept one of up to 10 s, and the process ended after 3.55 s. At fault: Front.leave, which only set last_answer. Core.drain now moves the timers of all open requests and attempts; what was never sent is then refused.

--- a/cleatyoke/__main__.py
+++ b/cleatyoke/__main__.py
@@ -138,7 +138,7 @@
     await stop.wait()
     log.info("leaving", open=len(core.calls))
     last = config.notice() - EXIT
-    front.leave(last)
+    core.drain(last)
     linger = lingers(last, [kind.aim for kind in config.settings.classes])
 
     async def close_files() -> None:
--- a/cleatyoke/core.py
+++ b/cleatyoke/core.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -15,7 +16,7 @@
 import structlog
 
 from cleatyoke import api
-from cleatyoke.rules import Policy
+from cleatyoke.rules import NEVER_RAN, Policy
 
 T = TypeVar("T")
 ATTEMPT_MARGIN = 0.04  # an attempt ends this long before the client's deadline, so that the answer beats it
@@ -55,14 +56,17 @@
 
 
 class Call:
-    """A request being served: what the policy says of it, and the timer of the attempt that is out."""
+    """A request being served: what the policy says of it, and the timers of its answer and its attempt."""
 
-    __slots__ = ("attempts", "out", "words")
+    __slots__ = ("attempts", "deadline", "may_have_run", "out", "timer", "words")
 
-    def __init__(self) -> None:
+    def __init__(self, deadline: float) -> None:
         self.words: asyncio.Queue[api.Send | api.Refuse | api.Fail] = asyncio.Queue()
+        self.deadline = deadline
+        self.timer: asyncio.Timeout | None = None
         self.out: asyncio.Timeout | None = None
         self.attempts = 0
+        self.may_have_run = False
 
 
 class Core:
@@ -76,6 +80,7 @@
         self.events: list[api.Event] = []
         self.bell: asyncio.TimerHandle | None = None
         self.numbered = 0
+        self.last_answer = math.inf  # a process that is to end answers nothing later
         self.lag = 0.0  # the longest that a wake-up of the loop came late since the last report
         self.reports: list[Callable[[], dict[str, object]]] = []  # what other parts add to a report
 
@@ -97,6 +102,21 @@
         """Unix time, by the monotonic clock."""
         return self.loop.time() + self.offset
 
+    def drain(self, seconds: float) -> None:
+        """Whatever is open, or comes from now on, has its answer within so many seconds."""
+        self.last_answer = self.now() + seconds
+        for call in self.calls.values():
+            call.deadline = min(call.deadline, self.last_answer)
+            for timer, margin in ((call.timer, ANSWER_MARGIN), (call.out, ATTEMPT_MARGIN)):
+                due = call.deadline - margin - self.offset
+                if timer and not timer.expired() and due < (timer.when() or math.inf):
+                    timer.reschedule(due)
+
+    def left(self, request: str) -> float:
+        """Seconds that an attempt of this request may still take; none once the request is over."""
+        call = self.calls.get(request)
+        return call.deadline - ATTEMPT_MARGIN - self.now() if call else 0.0
+
     def new_id(self) -> str:
         """Ids of the core's own: a client that repeats one of its ids mixes nothing up."""
         self.numbered += 1
@@ -133,12 +153,13 @@
 
     async def serve(self, ask: api.Arrival, attempt: Attempt[T]) -> Served[T] | Refused | Failed:
         """The life of a request, from its arrival to its one answer. Cancelled: the client has left."""
-        call = self.calls[ask.request] = Call()
+        ask.deadline = min(ask.deadline, self.last_answer)
+        call = self.calls[ask.request] = Call(ask.deadline)
         self.tell(ask)
         try:
             # A client that waits for less than the margin still hears the policy's word, which comes at once.
             limit = max(ask.deadline - ANSWER_MARGIN - self.offset, self.loop.time() + SOONEST)
-            async with asyncio.timeout_at(limit):
+            async with asyncio.timeout_at(limit) as call.timer:
                 while True:
                     match await call.words.get():
                         case api.Send(_, node):
@@ -156,7 +177,7 @@
             # Guards against a silent policy and a loop that ran late: the client is owed an answer in time.
             log.warning("answer_forced", request=ask.request, attempts=call.attempts)
             self.tell(api.Withdrawn(ask.request))
-            return Failed()
+            return Failed() if call.may_have_run else Refused(self.policy.settings.retry_after)
         finally:
             del self.calls[ask.request]
             while not call.words.empty():
@@ -169,21 +190,22 @@
     ) -> Ending[T]:
         """One attempt, until its timer ends it or the policy calls it off by the same timer. Its end is told
         once its connection is free or closed, so that there are never two out."""
-        number, sent, until = call.attempts, self.now(), ask.deadline - ATTEMPT_MARGIN
+        number, sent = call.attempts, self.now()
         call.attempts += 1
+        before, call.may_have_run = call.may_have_run, True
         ending, settled = Ending[T](api.Outcome.CANCELLED), True  # a client that leaves takes it along
         try:
-            async with asyncio.timeout_at(until - self.offset) as call.out:
+            async with asyncio.timeout_at(call.deadline - ATTEMPT_MARGIN - self.offset) as call.out:
                 ending = await attempt(node)
             settled = ending.outcome is api.Outcome.SERVED
         except TimeoutError:
             settled = False
-            ending = Ending(api.Outcome.TIMEOUT if self.now() >= until else api.Outcome.CANCELLED)
+            ending = Ending(api.Outcome.TIMEOUT if self.left(ask.request) <= 0 else api.Outcome.CANCELLED)
         except Exception:
             log.exception("attempt_fault", node=node)
             ending, settled = Ending(api.Outcome.RESET), False  # in doubt, it may have run
         finally:
-            call.out = None
+            call.out, call.may_have_run = None, before or ending.outcome not in NEVER_RAN
             self.end(ask, number, node, ending, self.now() - sent, settled)
         return ending
 
--- a/cleatyoke/net/server.py
+++ b/cleatyoke/net/server.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
 from collections import deque
 from collections.abc import Callable
 from typing import Any
@@ -16,7 +15,7 @@
 
 from cleatyoke import api
 from cleatyoke.config import Address, Config
-from cleatyoke.core import ATTEMPT_MARGIN, Core, Ending, Failed, Refused, Served
+from cleatyoke.core import Core, Ending, Failed, Refused, Served
 from cleatyoke.net.boxes import Boxes
 from cleatyoke.net.messages import MOST_BODY, Ask, BadMessage, decode_ask
 from cleatyoke.net.sockets import Listener, unread
@@ -106,7 +105,7 @@
     def __init__(self, config: Config, core: Core, boxes: Boxes, ready: Callable[[], bool]) -> None:
         self.config, self.core, self.boxes, self.ready = config, core, boxes, ready
         self.most_clients = config.shares.clients
-        self.last_answer, self.closing = math.inf, False
+        self.closing = False
         self.server = web.Server(
             self.handle, request_factory=self.make_request, handler_cancellation=True
         )  # a client that closes is withdrawn
@@ -210,7 +209,7 @@
             return web.Response(status=400, text="X-Trace-Id: taken\n")
         self.taken.add(ask.trace)
         try:
-            return await self.schedule(ask, min(came + ask.wait, self.last_answer))
+            return await self.schedule(ask, came + ask.wait)
         finally:
             self.over.append((self.core.now() + REMEMBERED, ask.trace))
 
@@ -218,7 +217,7 @@
         """One request through the core: an attempt is one exchange with a box."""
 
         async def attempt(node: int) -> Ending[bytes]:
-            return await self.boxes.attempt(node, ask, deadline - ATTEMPT_MARGIN - self.core.now())
+            return await self.boxes.attempt(node, ask, self.core.left(arrival.request))
 
         arrival = api.Arrival(
             request=self.core.new_id(),
@@ -244,11 +243,6 @@
         """For the log: the clients' connections."""
         return {"clients": len(self.clients), "clients_idle": len(self.idle)}
 
-    def leave(self, last: float) -> None:
-        """The process is to end: what is taken from now on is answered within so many seconds. Connections
-        are kept while it still serves, as their clients could come back by no other."""
-        self.last_answer = self.core.now() + last
-
     async def close(self) -> None:
         """No new connections, no idle ones; then all that was taken is answered."""
         self.closing = True  # from now on each answer says that its connection ends
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -73,6 +73,28 @@
         return mock.patch.object(self.boxes, "dial", dial)
 
 
+class Draining(CrossingCase):
+    async def test_what_was_taken_before_has_its_answer_before_the_process_ends(self) -> None:
+        await self.begin(silent)
+        self.front.config.give_up[1] = 60.0  # its client waits far longer than the process may live
+        asking = asyncio.create_task(self.ask("t", "PUT", b"scan", X_Expires_In_Ms="60000"))
+        await self.until(lambda: self.box.counts["t"])
+        self.core.drain(0.2)
+        async with asyncio.timeout(5):
+            self.assertEqual((await asking)[0], 502)  # it may have run
+        await self.until(lambda: self.box.open == 0 and not self.core.calls)
+
+    async def test_what_is_held_as_the_process_ends_is_refused_and_not_sent(self) -> None:
+        await self.begin(silent)
+        self.front.config.give_up[0] = 60.0
+        with mock.patch.object(self.core.policy, "step", lambda now, events: []):
+            asking = asyncio.create_task(self.ask("t", X_Expires_In_Ms="60000"))
+            await self.until(lambda: self.core.calls)
+            self.core.drain(0.1)
+            async with asyncio.timeout(5):
+                self.assertEqual((await asking)[0], 503)
+        self.assertEqual(self.box.accepted, 0)
+
 class Attempts(CrossingCase):
     async def test_a_call_off_that_meets_the_attempt_s_own_timer_harms_no_other_request(self) -> None:
         await self.begin(prompt)
