Look once more at client, time and pool before an attempt's first byte

Checked with scripted peers that close, reset or move the clock between dial and first byte; ruled out that the loop always hears of a close first: an end that waits in the kernel was passed over until the next turn. At fault: Boxes.attempt and Front.schedule. The client's socket is now asked itself, without a turn of the loop; bytes behind a request are no end. A connection that was not needed in the end is kept.

--- a/cleatyoke/net/boxes.py
+++ b/cleatyoke/net/boxes.py
@@ -151,18 +151,21 @@
         if line.expiry:
             line.expiry.cancel()
 
-    async def attempt(self, node: int, ask: Ask, wait: float) -> Ending[bytes]:
-        """Send the request to the box, once; any ending that is not proven harmless may have run."""
+    async def attempt(self, node: int, ask: Ask, left: Callable[[], float]) -> Ending[bytes]:
+        """Send the request to the box, once; any ending that is not proven harmless may have run. ``left``
+        says how many seconds there are for it, none once nobody waits for the answer."""
         if not self.directory.serves(node):
             return Ending(Outcome.NOT_SENT)
         pool = self.pools.get(node)
         if pool is None:
             pool = self.pools[node] = Pool(self.directory.boxes[node].address)
-        line, answer = None, None
+        line, answer, unused = None, None, False
         self.open += 1
         try:
             line = self.rested(pool) or await self.dial(pool)
-            if pool.retired:  # the last look before the first byte: discovery may have spoken meanwhile
+            wait = left()  # the last look before the first byte: much may have come while it was dialled
+            if pool.retired or wait <= 0:
+                unused = not pool.retired
                 return Ending(Outcome.NOT_SENT)
             try:
                 answer = await line.exchange(encode_attempt(ask, pool.address, wait))
@@ -175,7 +178,8 @@
         except (OSError, TimeoutError):
             return Ending(Outcome.NO_CONNECTION)
         finally:
-            if line and answer and answer.reusable and line.transport and not pool.retired:
+            reusable = unused or (answer is not None and answer.reusable)
+            if line and reusable and line.usable() and not pool.retired:
                 self.give_back(pool, line)
             else:
                 self.open -= 1
--- a/cleatyoke/net/server.py
+++ b/cleatyoke/net/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections import deque
 from collections.abc import Callable
 from typing import Any
@@ -18,7 +19,7 @@
 from cleatyoke.core import Core, Ending, Failed, Refused, Served
 from cleatyoke.net.boxes import Boxes
 from cleatyoke.net.messages import MOST_BODY, Ask, BadMessage, decode_ask
-from cleatyoke.net.sockets import Listener, unread
+from cleatyoke.net.sockets import Listener, gone, unread
 
 IDLE = 2.1  # seconds that a client's connection may stand without a request
 HEAD = 0.6  # seconds for the rest of a head whose first byte has come, where IDLE ends amid it
@@ -33,9 +34,9 @@
 class Client(RequestHandler):
     """A client's connection: aiohttp's, and the guards that it lacks against clients that behave badly."""
 
-    def __init__(self, front: Front, **settings: Any) -> None:
+    def __init__(self, front: Front, connection: socket.socket, **settings: Any) -> None:
         super().__init__(front.server, loop=front.core.loop, **settings)
-        self.front = front
+        self.front, self.connection = front, connection
         self.came = self._loop.time()
         self.began = 0.0  # when the first byte of a message came whose head is not whole yet; 0: none has
         self.busy = self.whole = False  # a message is in hand; and nothing of it is still to come
@@ -80,6 +81,10 @@
         self.front.forget(self)
         self.force_close()
 
+    def has_left(self) -> bool:
+        """The client has closed, as far as the kernel knows at this moment."""
+        return self.transport is None or self.transport.is_closing() or gone(self.connection)
+
     def _process_keepalive(self) -> None:
         """Close an idle connection, but let a head that has begun to come be read to its end."""
         if self.began and (rest := self.began + HEAD - self._loop.time()) > 0:
@@ -145,10 +150,10 @@
                 return True
         return False
 
-    def admit(self) -> Client:
+    def admit(self, connection: socket.socket) -> Client:
         client = Client(
-            self, keepalive_timeout=IDLE, access_log=None, auto_decompress=False, lingering_time=0.0,
-            max_line_size=MOST_HEAD, max_field_size=MOST_HEAD, max_headers=MOST_FIELDS,
+            self, connection, keepalive_timeout=IDLE, access_log=None, auto_decompress=False,
+            lingering_time=0.0, max_line_size=MOST_HEAD, max_field_size=MOST_HEAD, max_headers=MOST_FIELDS,
         )  # fmt: skip
         self.clients.add(client)
         self.silent[client] = None
@@ -209,15 +214,18 @@
             return web.Response(status=400, text="X-Trace-Id: taken\n")
         self.taken.add(ask.trace)
         try:
-            return await self.schedule(ask, came + ask.wait)
+            return await self.schedule(ask, came + ask.wait, client)
         finally:
             self.over.append((self.core.now() + REMEMBERED, ask.trace))
 
-    async def schedule(self, ask: Ask, deadline: float) -> web.Response:
+    async def schedule(self, ask: Ask, deadline: float, client: Client) -> web.Response:
         """One request through the core: an attempt is one exchange with a box."""
 
+        def left() -> float:
+            return 0.0 if client.has_left() else self.core.left(arrival.request)
+
         async def attempt(node: int) -> Ending[bytes]:
-            return await self.boxes.attempt(node, ask, self.core.left(arrival.request))
+            return await self.boxes.attempt(node, ask, left)
 
         arrival = api.Arrival(
             request=self.core.new_id(),
--- a/cleatyoke/net/sockets.py
+++ b/cleatyoke/net/sockets.py
@@ -17,6 +17,25 @@
     return readable(transport.get_extra_info("socket").fileno())
 
 
+def gone(connection: socket.socket) -> bool:
+    """The peer has closed or reset, whether or not the loop has heard of it; bytes behind a request are no
+    end, but one behind them is seen too."""
+    if connection.fileno() < 0:
+        return True
+    look = select.poll()
+    look.register(connection, select.POLLIN | select.POLLRDHUP)
+    for _, events in look.poll(0):
+        if events & (select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL):
+            return True
+        try:
+            return not connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+    return False
+
+
 def readable(descriptor: int) -> bool:
     look = select.poll()
     look.register(descriptor, select.POLLIN)
@@ -30,8 +49,9 @@
     pauses for a second once there are none left."""
 
     def __init__(
-        self, host: str, port: int, room: Callable[[], bool], make: Callable[[], asyncio.Protocol]
-    ) -> None:
+        self, host: str, port: int, room: Callable[[], bool],
+        make: Callable[[socket.socket], asyncio.Protocol],
+    ) -> None:  # fmt: skip
         self.loop, self.room, self.make = asyncio.get_running_loop(), room, make
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         self.socket = socket.create_server((host, port), family=family, backlog=BACKLOG)
@@ -56,7 +76,7 @@
                 return
             except OSError:
                 return self.wait()
-            task = self.loop.create_task(self.connect(self.make(), connection))
+            task = self.loop.create_task(self.connect(self.make(connection), connection))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -9,7 +9,8 @@
 from unittest import mock
 
 from cleatyoke import api
-from cleatyoke.core import Ending
+from cleatyoke.core import ATTEMPT_MARGIN, Ending
+from cleatyoke.net.sockets import gone
 from tests.test_http_front import FrontCase
 from tests.wire import answer
 
@@ -95,7 +96,88 @@
                 self.assertEqual((await asking)[0], 503)
         self.assertEqual(self.box.accepted, 0)
 
+    async def test_no_attempt_begins_past_the_last_answer(self) -> None:
+        await self.begin(prompt)
+        with self.after_dial(lambda: self.core.drain(ATTEMPT_MARGIN / 2)):
+            status, _ = await self.ask("t")
+        self.assertIn(status, (502, 503))
+        self.assertEqual(self.box.counts["t"], 0)
+
+class ClientGone(CrossingCase):
+    async def leave_after_dial(self, leave: Any) -> None:
+        await self.begin(prompt)
+        client = self.connect()
+        with self.after_dial(lambda: leave(client)):
+            client.sendall(request("t"))
+            await self.until(lambda: self.boxes.dials and not self.core.calls)
+        self.assertEqual(self.box.counts["t"], 0)
+
+    async def test_an_attempt_does_not_begin_for_a_client_that_has_just_closed(self) -> None:
+        await self.leave_after_dial(socket.socket.close)
+
+    async def test_nor_for_one_that_has_just_reset_its_connection(self) -> None:
+        await self.leave_after_dial(reset)
+
+    async def test_nor_for_one_that_has_just_ended_its_sending(self) -> None:
+        await self.leave_after_dial(lambda client: client.shutdown(socket.SHUT_WR))
+
+    async def test_nor_a_further_attempt(self) -> None:
+        async def script(trace: str) -> bytes:
+            client.close()
+            return answer(503, b"", "X-Never-Ran: 1", "Connection: close")
+
+        await self.begin(script)
+        client = self.connect()
+        with mock.patch.object(self.core.policy, "judge_node"):  # the next attempt is due at once
+            client.sendall(request("t"))
+            await self.until(lambda: self.box.counts["t"] and not self.core.calls)
+        self.assertEqual(self.box.counts["t"], 1)
+
+    async def test_a_client_that_leaves_while_its_request_is_held_is_withdrawn_at_once(self) -> None:
+        await self.begin(prompt)
+        self.front.config.give_up[0] = 60.0
+        client = self.connect()
+        told: list[api.Event] = []
+        with mock.patch.object(self.core.policy, "step", lambda now, events: told.extend(events) or []):
+            client.sendall(request("t", X_Expires_In_Ms="60000"))
+            await self.until(lambda: self.core.calls)
+            client.close()
+            await self.until(lambda: any(isinstance(event, api.Withdrawn) for event in told))
+        self.assertEqual((self.core.calls, self.box.accepted), ({}, 0))
+
+    async def test_bytes_behind_a_request_are_no_end_but_an_end_behind_them_is_seen(self) -> None:
+        ours, theirs = socket.socketpair(socket.AF_UNIX)
+        ours.setblocking(False)
+        self.addCleanup(ours.close)
+        self.assertFalse(gone(ours))
+        theirs.sendall(b"more")
+        self.assertFalse(gone(ours))
+        theirs.close()
+        self.assertTrue(gone(ours))
+
+
 class Attempts(CrossingCase):
+    async def test_an_attempt_tells_its_box_what_is_left_after_the_connection_came_up_late(self) -> None:
+        await self.begin(prompt)
+        with self.after_dial(lambda: setattr(self.core, "offset", self.core.offset + 1.0)):
+            await self.ask("t")
+        (head,) = self.box.heads
+        told = int(head.split("X-Expires-In-Ms: ")[1].split("\r\n")[0])
+        self.assertLess(told, 500)
+
+    async def test_an_attempt_does_not_begin_past_its_client_s_time(self) -> None:
+        await self.begin(prompt)
+        with self.after_dial(lambda: setattr(self.core, "offset", self.core.offset + 2.0)):
+            status, _ = await self.ask("t")
+        self.assertNotEqual(status, 200)
+        self.assertEqual(self.box.counts["t"], 0)
+
+    async def test_a_connection_that_was_not_needed_in_the_end_is_kept(self) -> None:
+        await self.begin(prompt)
+        found = await self.boxes.attempt(1, mock.Mock(), lambda: 0.0)
+        self.assertEqual(found, Ending(api.Outcome.NOT_SENT))
+        self.assertEqual((self.boxes.open, len(self.boxes.pools[1].idle)), (1, 1))
+
     async def test_a_call_off_that_meets_the_attempt_s_own_timer_harms_no_other_request(self) -> None:
         await self.begin(prompt)
         arrival = api.Arrival("t", 0, 0, 1, 1, 0, 1.0, self.core.now() + 60, 1)
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -353,7 +353,7 @@
             return line
 
         with mock.patch.object(self.boxes, "dial", late):
-            outcome = (await self.boxes.attempt(1, ask("t"), 1.0)).outcome
+            outcome = (await self.boxes.attempt(1, ask("t"), lambda: 1.0)).outcome
         self.assertEqual((outcome, self.box.counts["t"]), (Outcome.NOT_SENT, 0))
 
     async def test_a_refused_connection_never_ran_and_pools_of_a_draining_box_are_closed(self) -> None:
@@ -361,13 +361,13 @@
             return answer()
 
         await self.begin(script)
-        await self.boxes.attempt(1, ask("t"), 1.0)
+        await self.boxes.attempt(1, ask("t"), lambda: 1.0)
         self.assertEqual(self.box.open, 1)
         listed(self.directory, instance("s-a", self.box.port, NodeState.DRAINING))
         await self.until(lambda: self.box.open == 0)
         self.box.stop()
         listed(self.directory, instance("s-a", self.box.port))
-        outcome = (await self.boxes.attempt(1, ask("t"), 1.0)).outcome
+        outcome = (await self.boxes.attempt(1, ask("t"), lambda: 1.0)).outcome
         self.assertEqual(outcome, Outcome.NO_CONNECTION)
 
     async def test_a_connection_that_ends_as_it_comes_up_never_ran_anything(self) -> None:
@@ -383,7 +383,7 @@
             return line
 
         with mock.patch.object(self.boxes, "dial", short):
-            found = await self.boxes.attempt(1, ask("t", "PUT", b"scan"), 1.0)
+            found = await self.boxes.attempt(1, ask("t", "PUT", b"scan"), lambda: 1.0)
         self.assertEqual(found, Ending(Outcome.NO_CONNECTION))
         self.assertEqual((self.box.counts["t"], self.boxes.open), (0, 0))
 
@@ -407,7 +407,7 @@
         await self.begin(script)
         with mock.patch.object(boxes_module, "GAP", 0.05):
             for place, text in enumerate(spoilt):
-                found = await self.boxes.attempt(1, ask(str(place), "PUT", b"scan"), 1.0)
+                found = await self.boxes.attempt(1, ask(str(place), "PUT", b"scan"), lambda: 1.0)
                 self.assertEqual(found, Ending(Outcome.RESET), text[:80])
         self.assertEqual(set(self.box.counts.values()), {1})
         self.assertEqual((self.box.accepted, self.boxes.open), (len(spoilt), 0))
@@ -426,7 +426,7 @@
         await self.begin(script)
         with mock.patch.object(boxes_module, "REST", 0.0):
             for place in range(len(cases)):
-                found = await self.boxes.attempt(1, ask(str(place)), 1.0)
+                found = await self.boxes.attempt(1, ask(str(place)), lambda: 1.0)
                 self.assertEqual(found, Ending(Outcome.SERVED, b"tile" * (70_000 if place == 2 else 1)))
                 self.assertEqual(self.boxes.open, int(place < 3), "what brought more is not used again")
 
@@ -436,7 +436,7 @@
 
         await self.begin(script)
         for trace, read in (("first", True), ("second", False), ("third", True)):
-            found = await self.boxes.attempt(1, ask(trace), 1.0)
+            found = await self.boxes.attempt(1, ask(trace), lambda: 1.0)
             self.assertEqual(found, Ending(Outcome.SERVED, trace.encode()))
             (line,) = self.boxes.pools[1].idle
             line.rested_at = 0.0
@@ -457,12 +457,12 @@
         listed(self.directory, instance("s-a", self.box.port), instance("s-b", self.box.port, cell=1))
         with mock.patch.object(boxes_module, "REST", 60):
             for trace in "ab":  # the first one rests, so that the second takes another
-                await self.boxes.attempt(1, ask(trace), 1.0)
+                await self.boxes.attempt(1, ask(trace), lambda: 1.0)
             self.assertEqual((self.box.accepted, self.boxes.open), (2, 2))
-            await self.boxes.attempt(2, ask("c"), 1.0)
+            await self.boxes.attempt(2, ask("c"), lambda: 1.0)
             self.assertEqual((self.boxes.open, len(self.boxes.pools[1].idle)), (2, 1))
         self.boxes.pools[1].idle[0].rested_at = 0.0
-        await self.boxes.attempt(1, ask("d"), 1.0)
+        await self.boxes.attempt(1, ask("d"), lambda: 1.0)
         self.assertEqual((self.box.accepted, self.boxes.open), (3, 2))
         self.box.stop()  # the boxes close their idle connections
         await self.until(lambda: self.boxes.open == 0)
