Let the client read its last answer before its connection is closed

Seen in reading the shutdown: the last answer was followed by a close of the socket at once, over what had just come in, which resets the connection and may take the answer along; front.close() dropped the rest of heads that had half come (aiohttp's pre_shutdown), evicted connections whose answer was still being written, and closed the listener over connections in its backlog; the idle limit closed over a request that had come unread. Checked by forcing each on loopback: every one of the new tests fails when its part is taken out. GracefulTransport shuts the sending side, reads on for 0.25 s and closes then; the listener takes its backlog. At fault: Client.evict, Front.close, Listener.close and Client._process_keepalive.

--- a/cleatyoke/__main__.py
+++ b/cleatyoke/__main__.py
@@ -18,7 +18,7 @@
 from cleatyoke.net.boxes import Boxes
 from cleatyoke.net.discovery import Discovery
 from cleatyoke.net.messages import BadMessage, read_listing
-from cleatyoke.net.server import Front
+from cleatyoke.net.server import DRAIN, Front
 from cleatyoke.sftp.boxes import FileBoxes
 from cleatyoke.sftp.front import FileFront
 from cleatyoke.vrrp import Carrier
@@ -138,7 +138,7 @@
     await stop.wait()
     log.info("leaving", open=len(core.calls))
     last = config.notice() - EXIT
-    core.drain(last)
+    core.drain(last - DRAIN)
     linger = lingers(last, [kind.aim for kind in config.settings.classes])
 
     async def close_files() -> None:
--- a/cleatyoke/net/server.py
+++ b/cleatyoke/net/server.py
@@ -19,13 +19,16 @@
 from cleatyoke.core import Core, Ending, Failed, Refused, Served
 from cleatyoke.net.boxes import Boxes
 from cleatyoke.net.messages import MOST_BODY, Ask, BadMessage, decode_ask
-from cleatyoke.net.sockets import Listener, gone, unread
+from cleatyoke.net.sockets import GracefulTransport, Listener, gone, unread
 
 IDLE = 2.1  # seconds that a client's connection may stand without a request
 HEAD = 0.6  # seconds for the rest of a head whose first byte has come, where IDLE ends amid it
 BODY = 1.5  # seconds for a body to come
 MOST_HEAD = 4096  # bytes of a line or a field of a head
 MOST_FIELDS = 64
+DRAIN = 0.25  # seconds for a client to read its last answer and close, its own bytes read and dropped
+AGAIN = 0.02  # seconds until the next look at a connection that could not be closed yet
+UNREAD = 3.0  # seconds for a client to read an answer that the kernel does not take whole
 SILENT = 0.03  # seconds after which a connection that has not spoken may make room for another
 REMEMBERED = 2.0  # seconds after its answer for which an id still counts as taken
 log = structlog.get_logger()
@@ -37,27 +40,43 @@
     def __init__(self, front: Front, connection: socket.socket, **settings: Any) -> None:
         super().__init__(front.server, loop=front.core.loop, **settings)
         self.front, self.connection = front, connection
+        self.graceful: GracefulTransport | None = None
         self.came = self._loop.time()
         self.began = 0.0  # when the first byte of a message came whose head is not whole yet; 0: none has
         self.busy = self.whole = False  # a message is in hand; and nothing of it is still to come
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        super().connection_made(transport)
+        assert isinstance(transport, asyncio.Transport)
+        self.graceful = GracefulTransport(transport, DRAIN, UNREAD)
+        super().connection_made(self.graceful)
         self.front.idle[self] = None
 
     def connection_lost(self, exc: BaseException | None) -> None:
         self.front.forget(self)
+        if self.graceful:
+            self.graceful.lost()
         super().connection_lost(exc)
 
     def evictable(self) -> bool:
-        """No request is on its way here as far as anyone can see."""
-        return not self.began and self.transport is not None and not unread(self.transport)
+        """No request is on its way here as far as anyone can see, and no answer is being written."""
+        if self.graceful is None or self.graceful.is_closing() or not self.waits():
+            return False
+        return not self.began and not self.graceful.get_write_buffer_size() and not unread(self.graceful)
+
+    def waits(self) -> bool:
+        return self._waiter is not None and not self._waiter.done()
+
+    def stalled(self) -> bool:
+        """A head has begun, but its rest does not come."""
+        return 0 < self.began <= self._loop.time() - HEAD
 
     def data_received(self, data: bytes) -> None:
+        if self.graceful is None or self.graceful.is_closing():
+            return  # behind the last answer: read, so that the close resets nothing, and dropped
         if self.whole:
             # Guards the box and the next request: what comes behind a request before its answer is no
             # message of this protocol, and may be hidden in a length that is wrong. It ends here.
-            self.force_close()
+            self.evict()
             return
         super().data_received(data)
         if self._messages:
@@ -77,21 +96,29 @@
         self.front.idle[self] = None
 
     def evict(self) -> None:
-        """End an idle connection cleanly."""
+        """End the connection at once, whatever is in hand; an idle one is owed nothing."""
         self.front.forget(self)
-        self.force_close()
+        if self.graceful:
+            self.graceful.abort()
 
     def has_left(self) -> bool:
         """The client has closed, as far as the kernel knows at this moment."""
-        return self.transport is None or self.transport.is_closing() or gone(self.connection)
+        return self.graceful is None or self.graceful.is_closing() or gone(self.connection)
 
     def _process_keepalive(self) -> None:
         """Close an idle connection, but let a head that has begun to come be read to its end."""
-        if self.began and (rest := self.began + HEAD - self._loop.time()) > 0:
-            self._keepalive_handle = self._loop.call_later(rest, super()._process_keepalive)
+        late = self._loop.time() - self._next_keepalive_close_time
+        if 0 <= late < UNREAD and self.waits() and not self.evictable() and not self.stalled():
+            self._keepalive_handle = self._loop.call_later(AGAIN, self._process_keepalive)
         else:
             super()._process_keepalive()
 
+    def force_close(self) -> None:
+        """An idle connection owes nothing, and a request that crosses its end is to find it closed."""
+        if self.graceful and (self.evictable() or self.stalled()):
+            self.graceful.abort()
+        super().force_close()
+
     def handle_error(
         self, request: web.BaseRequest, status: int = 500, exc: BaseException | None = None,
         message: str | None = None,
@@ -252,12 +279,12 @@
         return {"clients": len(self.clients), "clients_idle": len(self.idle)}
 
     async def close(self) -> None:
-        """No new connections, no idle ones; then all that was taken is answered."""
+        """No new connections, no idle ones; what was taken, or is being read, is still answered."""
         self.closing = True  # from now on each answer says that its connection ends
         if self.listener:
             self.listener.close()
-        self.server.pre_shutdown()
-        for client in list(self.idle):
-            client.evict()
         while self.clients:
-            await asyncio.sleep(0.02)
+            for client in list(self.idle):
+                if client.evictable() or client.stalled():
+                    client.evict()
+            await asyncio.sleep(AGAIN)
--- a/cleatyoke/net/sockets.py
+++ b/cleatyoke/net/sockets.py
@@ -1,11 +1,13 @@
-"""What asyncio does not offer for sockets: a look for unread bytes, and a listener that can wait for room."""
+"""What asyncio does not offer for sockets: a look for unread bytes or the peer's end, a close that lets the
+peer read what was written, and a listener that can wait for room."""
 
 from __future__ import annotations
 
 import asyncio
 import select
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from typing import Any
 
 ACCEPTED = 32  # connections accepted in one turn of the loop
 BACKLOG = 512  # connections that the kernel holds until they are accepted
@@ -42,6 +44,67 @@
     return bool(look.poll(0))
 
 
+class GracefulTransport(asyncio.Transport):
+    """A transport whose close() shuts the sending side and reads on for some seconds before the socket goes.
+
+    Guards the last answer: a socket that is closed over unread bytes resets the connection, and the peer may
+    lose what it has not read yet. The protocol is to drop what comes once ``is_closing``."""
+
+    def __init__(self, inner: asyncio.Transport, seconds: float, most: float) -> None:
+        super().__init__()
+        self.inner, self.seconds, self.most = inner, seconds, most  # ``most``: for what is not written yet
+        self.loop = asyncio.get_running_loop()
+        self.timer: asyncio.TimerHandle | None = None
+
+    def close(self) -> None:
+        if self.is_closing():
+            return
+        self.timer = self.loop.call_later(self.seconds, self.end, self.loop.time() + self.most)
+        try:
+            self.inner.resume_reading()
+            self.inner.write_eof()
+        except OSError:  # the peer has reset it
+            self.abort()
+
+    def end(self, last: float) -> None:
+        if self.get_write_buffer_size() and self.loop.time() < last:
+            self.timer = self.loop.call_later(self.seconds, self.end, last)
+        else:
+            self.abort()
+
+    def get_write_buffer_size(self) -> int:
+        return self.inner.get_write_buffer_size()
+
+    def abort(self) -> None:
+        """At once; what has not been written is lost."""
+        self.inner.abort()
+
+    def lost(self) -> None:
+        if self.timer:
+            self.timer.cancel()
+
+    def is_closing(self) -> bool:
+        return self.timer is not None or self.inner.is_closing()
+
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        return self.inner.get_extra_info(name, default)
+
+    def write(self, data: bytes | bytearray | memoryview[Any]) -> None:
+        self.inner.write(data)
+
+    def writelines(self, list_of_data: Iterable[bytes | bytearray | memoryview[Any]]) -> None:
+        self.inner.writelines(list_of_data)
+
+    def is_reading(self) -> bool:
+        return self.inner.is_reading()
+
+    def pause_reading(self) -> None:
+        self.inner.pause_reading()
+
+    def resume_reading(self) -> None:
+        self.inner.resume_reading()
+
+
 class Listener:
     """Accepts a connection only when there is ``room`` for it; until then the kernel holds it.
 
@@ -92,6 +155,12 @@
             protocol.connection_lost(error)
 
     def close(self) -> None:
+        """Accept what the kernel holds, as far as there is room: closing the listener would reset it."""
+        if self.bell:
+            self.bell.cancel()
+        if self.socket.fileno() < 0:
+            return
+        self.accept()
         if self.bell:
             self.bell.cancel()
         self.loop.remove_reader(self.socket)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -8,6 +8,8 @@
 from typing import Any
 from unittest import mock
 
+from aiohttp import web
+
 from cleatyoke import api
 from cleatyoke.core import ATTEMPT_MARGIN, Ending
 from cleatyoke.net.sockets import gone
@@ -103,6 +105,94 @@
         self.assertIn(status, (502, 503))
         self.assertEqual(self.box.counts["t"], 0)
 
+    async def test_the_last_answer_outlives_a_request_that_comes_as_its_connection_ends(self) -> None:
+        await self.begin(prompt)
+        self.front.closing = True
+        client = self.connect()
+        real = web.Response.write_eof
+
+        async def write_eof(response: web.Response, data: bytes = b"") -> None:
+            await real(response, data)
+            client.sendall(request("crossing"))  # unread as the front closes
+
+        client.sendall(request("t"))
+        with mock.patch.object(web.Response, "write_eof", write_eof):
+            found = await self.received(client)
+        self.assertTrue(found.startswith(b"HTTP/1.1 200 ") and found.endswith(b"tile"), found)
+        self.assertIn(b"Connection: close", found)
+        (one,) = self.front.clients
+        client.close()
+        await self.until(lambda: not self.front.clients)
+        self.assertFalse(one._messages, "what is read after the last answer is dropped")
+        self.assertEqual(self.box.counts["crossing"], 0)
+
+    async def test_a_client_that_sends_on_for_ever_is_cut_off_in_the_end(self) -> None:
+        await self.begin(prompt)
+        self.front.closing = True
+        client = self.connect()
+        client.sendall(request("t"))
+        await self.received(client)  # up to the end of the front's sending
+        client.setblocking(False)
+        with self.assertRaises(ConnectionError):
+            async with asyncio.timeout(5):
+                while True:
+                    await asyncio.get_running_loop().sock_sendall(client, bytes(65536))
+
+    async def test_a_request_in_the_backlog_of_the_closing_listener_is_answered(self) -> None:
+        await self.begin(prompt)
+        client = self.connect()
+        client.sendall(request("t"))
+        closing = asyncio.create_task(self.front.close())  # its first step comes before the next accept
+        assert self.front.listener
+        self.front.listener.loop.remove_reader(self.front.listener.socket)
+        self.assertTrue((await self.received(client)).startswith(b"HTTP/1.1 200 "))
+        await closing
+
+    async def test_a_request_that_has_half_come_as_the_front_closes_is_answered(self) -> None:
+        await self.begin(prompt)
+        client = self.connect()
+        client.sendall(request("t")[:40])
+        await self.until(lambda: any(one.began for one in self.front.clients))
+        closing = asyncio.create_task(self.front.close())
+        await asyncio.sleep(0)
+        client.sendall(request("t")[40:])
+        self.assertTrue((await self.received(client)).startswith(b"HTTP/1.1 200 "))
+        await closing
+
+    async def test_an_answer_that_a_slow_client_is_still_reading_is_not_cut(self) -> None:
+        large = answer(200, bytes(1_000_000))
+
+        async def script(trace: str) -> bytes:
+            return large
+
+        await self.begin(script)
+        client = self.connect()
+        await self.until(lambda: self.front.idle)
+        (one,) = self.front.clients
+        one.connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        client.sendall(request("t"))
+        await self.until(lambda: one.graceful and one.graceful.get_write_buffer_size())
+        self.assertIn(one, self.front.idle)  # its request is over, its answer is not
+        closing = asyncio.create_task(self.front.close())
+        await asyncio.sleep(0)
+        found = await self.received(client)  # up to the end of the connection
+        self.assertEqual(len(found.partition(b"\r\n\r\n")[2]), 1_000_000)
+        client.close()
+        await closing
+
+    async def test_a_request_that_has_come_unread_is_not_closed_over_at_the_idle_limit(self) -> None:
+        await self.begin(prompt)
+        client = self.connect()
+        client.sendall(request("first"))
+        await self.received(client, b"tile")
+        (one,) = self.front.clients
+        await self.until(one.waits)
+        client.sendall(request("second"))
+        one._next_keepalive_close_time = self.core.loop.time()
+        one._process_keepalive()
+        self.assertTrue((await self.received(client, b"tile")).startswith(b"HTTP/1.1 200 "))
+
+
 class ClientGone(CrossingCase):
     async def leave_after_dial(self, leave: Any) -> None:
         await self.begin(prompt)
