Hear discovery again within six seconds, whatever way a call breaks

Seen in reading, with each way forced on loopback: silence was the socket's (5 s since the last byte), so bytes that trickle in kept a dead watch for ever; a watch call that was accepted but not answered hung those 5 s; the pause after failures went up to 12 s; silence, pause and call together could take 5 + 0.25 + 1 s with an agent, over 6 s, and 18 s and more with a shared service. A line that the connection's end had cut was taken if it could be read, and an indented message was taken for a malformed line each time. At fault: SILENCE, MOST_PAUSE and MOST_ALONE, and Watch.watch, which left the time to sock_read. Silence now counts from the last whole message; call, pause and next call fit into the window for any fleet.

--- a/cleatyoke/net/discovery.py
+++ b/cleatyoke/net/discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import random
 import time
 from collections.abc import Callable
@@ -15,23 +16,55 @@
 from cleatyoke.directory import Directory, Listing
 from cleatyoke.net.messages import BadMessage, decode_listing
 
-SILENCE = 5.0  # seconds without a line, where an empty one comes every two: the watch is dead
-FETCH = 1.0  # seconds for the whole list, of which the agent has what it has at once
-PAUSE = 0.25  # the least spread of a next call
+WINDOW = 6.0  # seconds after which a change counts as told, once discovery had it and could be reached
+SILENCE = 3.0  # seconds since the last whole line, where an empty one comes every two: the watch is dead
+CALL = 1.5  # seconds for the whole list, or for the first line of a watch, from one service for all
+CALL_ALONE = 1.0  # and from an agent of the front's own, which has what it has at once
+PAUSE = 0.1  # the least spread of a next call
 EACH = 0.15  # seconds of that spread for each front, where one service hears all: about what a list takes
-MOST_PAUSE = 12.0  # the most of that spread, however large the fleet and however many calls failed
-MOST_ALONE = 1.0  # and where the front has an agent of its own, whom no other front's calls keep
+MOST_FIRST = 1.25  # the most of that spread after a silence: silence, pause and call fit into the window
+MOST_PAUSE = 2.75  # and after failures, however many: a call that fails, a pause and the next call fit
+MOST_ALONE = 0.4  # where the front has an agent of its own, whom no other front's calls keep
+MOST_MOVED = 0.9  # amid a move, which counts as told sooner
 MOST_LINE = 1 << 20
 log = structlog.get_logger()
 
 
 def spread(failures: int, callers: int) -> float:
-    """Seconds within which the next call falls, anywhere: twice as many after each failure in a row.
+    """Seconds within which the next call falls, anywhere: twice as many after each failure in a row, up to
+    what the window leaves.
 
     Guards discovery: what ends one watch ends all, and a fleet that comes back at once, or as fast as it is
     turned away, keeps the service at work on calls that nobody waits for any more."""
-    most = MOST_PAUSE if callers > 1 else MOST_ALONE
-    return min(most, max(PAUSE, EACH * callers) * 2.0 ** min(failures, 16))
+    most = MOST_ALONE if callers <= 1 else MOST_PAUSE if failures else MOST_FIRST
+    return min(most, max(PAUSE, EACH * (callers - 1)) * 2.0 ** min(failures, 16))
+
+
+class Gathered:
+    """Puts the lines of a watch together to messages: one object a line, or an indented one over many."""
+
+    def __init__(self) -> None:
+        self.text = b""
+
+    def add(self, line: bytes) -> bytes | None:
+        """A whole message, an empty one included; None amid one."""
+        if not line.endswith(b"\n"):
+            raise BadMessage("a line is cut")
+        if not line.strip() and not self.text:
+            return b""
+        self.text += line
+        if len(self.text) > MOST_LINE:
+            raise BadMessage("a message does not end")
+        try:
+            json.loads(self.text)
+        except json.JSONDecodeError as error:
+            if line.strip() and error.pos >= len(error.doc.rstrip()):
+                return None  # it ended amid an object, as an indented one does
+            raise BadMessage(str(error)) from error
+        except ValueError as error:
+            raise BadMessage(str(error)) from error
+        text, self.text = self.text, b""
+        return text
 
 
 class Discovery:
@@ -42,7 +75,8 @@
         seed: int = 0,
     ) -> None:  # fmt: skip
         self.address, self.directory, self.tell = address, directory, tell
-        self.callers, self.dice = callers, random.Random(seed)  # how many fronts call the same service
+        self.callers, self.random = callers, random.Random(seed)  # how many fronts call the same service
+        self.call = CALL if callers > 1 else CALL_ALONE
         self.heard = asyncio.Event()  # something, in this life
         self.taken_at = time.monotonic()  # when the latest word on the list came
         self.watches: list[Watch] = []  # the last one is on the address that counts
@@ -61,7 +95,7 @@
 
     def pause(self, failures: int) -> float:
         """Seconds until the next call, after so many in a row that brought no list."""
-        return self.dice.random() * spread(failures, self.callers)
+        return self.random.random() * spread(failures, self.callers)
 
     def move(self, address: Address) -> None:
         """Watch another agent. The whole list comes first, as the old one's versions are nothing to it. Until
@@ -101,7 +135,7 @@
     async def run(self) -> None:
         """Where a change may have been missed, the whole list comes first."""
         await asyncio.sleep(self.turn)
-        timeout = aiohttp.ClientTimeout(total=None, sock_connect=FETCH, sock_read=SILENCE)
+        timeout = aiohttp.ClientTimeout(total=None)  # each step has its own
         async with aiohttp.ClientSession(
             timeout=timeout, cookie_jar=aiohttp.DummyCookieJar(), read_bufsize=MOST_LINE
         ) as session:
@@ -119,24 +153,39 @@
                     log.warning("discovery_lost", address=self.url, why=why, failures=self.failures)
                 pause = self.owner.pause(self.failures)
                 self.failures += 1
-                await asyncio.sleep(pause)
+                await asyncio.sleep(min(pause, MOST_MOVED) if self.moving() else pause)
+
+    def moving(self) -> bool:
+        return self is not self.owner.watches[0]
 
     async def fetch(self, session: aiohttp.ClientSession) -> None:
-        async with asyncio.timeout(FETCH), session.get(self.url, raise_for_status=True) as response:
+        limit = asyncio.timeout(self.owner.call)
+        async with limit, session.get(self.url, raise_for_status=True) as response:
             listing = decode_listing(await response.read())
         self.take(listing, api.ListKind.FULL)
         self.owner.settled(self)
 
     async def watch(self, session: aiohttp.ClientSession) -> None:
-        params = {"watch": "1", "after": str(self.version)}
-        async with session.get(self.url, params=params, raise_for_status=True) as response:
-            while line := await response.content.readline():
-                if self.failures or not self.owner.heard.is_set():
-                    log.info("discovery_heard", address=self.url, failures=self.failures, bytes=len(line))
-                self.failures = 0
-                self.owner.heard.set()
-                if text := line.strip():
-                    self.take(decode_listing(text))
+        """Silence counts from the last whole message: bytes that trickle in are none."""
+        params, gathered = {"watch": "1", "after": str(self.version)}, Gathered()
+        async with asyncio.timeout(self.owner.call) as silence:
+            async with session.get(self.url, params=params, raise_for_status=True) as response:
+                while line := await response.content.readline():
+                    message = gathered.add(line)
+                    if message is None:
+                        continue
+                    silence.reschedule(asyncio.get_running_loop().time() + SILENCE)
+                    self.hear(len(line))
+                    if message:
+                        self.take(decode_listing(message))
+            if gathered.text:
+                raise BadMessage("a message is cut")
+
+    def hear(self, size: int) -> None:
+        if self.failures or not self.owner.heard.is_set():
+            log.info("discovery_heard", address=self.url, failures=self.failures, bytes=size)
+        self.failures = 0
+        self.owner.heard.set()
 
     def take(self, listing: Listing, kind: api.ListKind | None = None) -> None:
         self.owner.take(listing, kind)
