Name the key of every setting that would fail the program later

Seen by giving the reader other customers' and odd values: no classes or plans, a class named twice, an aim of 0, ChangesData shorter than the classes, Areas that are no texts, a ramp without TipAfterS, a number of 400 digits, a port of 5,000 digits and a file nested without end either ended the start with a traceback or broke the first request, cold node or list that met them. Two class names of one customer were defaults of the file service. At fault: Table.number, tables and names, read_settings and read_address; read_instance for startedAtMs.

--- a/cleatyoke/config.py
+++ b/cleatyoke/config.py
@@ -4,6 +4,7 @@
 
 import json
 import math
+import re
 import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -15,6 +16,7 @@
 REPEATS = {"repeatable": api.Repeat.FREE, "by_key": api.Repeat.KEYED, "once": api.Repeat.ONCE}
 MOST_WRITE = 64 * 1024  # bytes of a body, and so of an upload, unless the fronts file says less
 MOST_SOCKETS = 1024
+MOST_NUMBER = 1e12  # figures of the settings are seconds, units, worths and rates
 SPARE_SOCKETS = 56  # listeners, log, discovery twice, files read, connections whose end is still on its way
 MOST_SESSIONS = 32
 FRONTS = Path(__file__).resolve().parent.parent / "deploy" / "fronts.toml"
@@ -141,10 +143,12 @@
             raise self.fail(key, "missing")
         return default if value is None else value
 
-    def number(self, key: str, default: float | None = None) -> float:
+    def number(self, key: str, default: float | None = None, above: float = -1e-300) -> float:
+        """A number of at least 0, or of more than ``above``; the default may be what else."""
         value = self.get(key, default)
-        if value is not default and not finite(value):
-            raise self.fail(key, f"want a number, found {value!r}")
+        if value is not default and not (finite(value) and MOST_NUMBER > value > above):
+            want = "a number above 0" if above >= 0 else "a number from 0 up"
+            raise self.fail(key, f"want {want}, found {value!r}")
         return float(value)
 
     def whole(self, key: str, least: int, most: int, default: int | None = None) -> int:
@@ -180,10 +184,16 @@
             raise self.fail(key, "want a table")
         return Table(value, f"{self.path}{key}.")
 
-    def tables(self, key: str, default: list[Any] | None = None) -> list[Table]:
-        value = self.get(key, default)
-        if not isinstance(value, list) or not all(isinstance(one, Mapping) for one in value):
-            raise self.fail(key, "want a list of tables")
+    def each(self, key: str, kind: type, word: str) -> list[Any]:
+        value = self.get(key, [])
+        if not isinstance(value, list) or not all(isinstance(one, kind) for one in value):
+            raise self.fail(key, f"want a list of {word}")
+        return value
+
+    def tables(self, key: str) -> list[Table]:
+        value = self.get(key)
+        if not isinstance(value, list) or not value or not all(isinstance(one, Mapping) for one in value):
+            raise self.fail(key, "want a list of tables, one at least")
         return [Table(one, f"{self.path}{key}[{place}].") for place, one in enumerate(value)]
 
     def nothing_else(self) -> None:
@@ -193,12 +203,12 @@
 
 
 def finite(value: Any) -> bool:
-    return isinstance(value, int | float) and not isinstance(value, bool) and math.isfinite(value)
+    return isinstance(value, int | float) and not isinstance(value, bool) and abs(value) < math.inf
 
 
 def read_address(text: str, key: str) -> Address:
     host, colon, port = text.rpartition(":")
-    if not colon or not host or not port.isdecimal() or not 0 <= int(port) <= 65535:
+    if not colon or not host or not re.fullmatch("[0-9]{1,5}", port) or int(port) > 65535:
         raise BadConfig(f"{key}: want HOST:PORT, found {text!r}")
     return Address(host.strip("[]"), int(port))
 
@@ -209,7 +219,7 @@
     safety, limits, extra = root.table("Safety", {}), root.table("PolicyLimits"), root.table("Extra", {})
     classes = [
         api.ClassSpec(
-            aim=lane.number("AimS"),
+            aim=lane.number("AimS", above=0.0),
             worth=lane.number("Worth"),
             late_share=lane.number("LateShare", 0.0),
             repeat=lane.one_of("Repeat", REPEATS),
@@ -231,6 +241,10 @@
         for plan in root.tables("Contracts")
     ]
 
+    if not any(kind.worth for kind in classes):
+        raise root.fail("Lanes[0].Worth", "want a class of some worth")
+    ramp = safety.number("RampTimeS", 0.0)
+
     def optional(key: str) -> float | None:
         return None if safety.values.get(key) is None else safety.number(key)
 
@@ -239,9 +253,9 @@
         plans=plans,
         safety=api.Safety(
             cold_from=safety.number("ColdFrom", 0.0),
-            ramp=safety.number("RampTimeS", 0.0),
+            ramp=ramp,
             tip_multiple=safety.number("TipMultiple", 0.0),
-            tip_after=safety.number("TipAfterS", 0.0),
+            tip_after=safety.number("TipAfterS", above=0.0) if ramp else safety.number("TipAfterS", 0.0),
             ask_every=optional("AskEveryS"),
             key_rest=safety.number("KeyRestS", 0.0),
             extra_free=optional("FreeResends"),
@@ -249,7 +263,7 @@
             extra_window=optional("LookBackS"),
         ),
         seed=seed,
-        hosts=int(root.number("Siblings", 0)),
+        hosts=root.whole("Siblings", 0, 1 << 20, 0),
         must_watch=facts.get("Discovery") == "subscribe",
         max_attempts=limits.whole("SendCap", 1, 1000),
         cancel=limits.flag("Cancel"),
@@ -263,7 +277,19 @@
 
 
 def names(tables: list[Table], key: str = "Name") -> dict[str, int]:
-    return {table.text(key): place for place, table in enumerate(tables)}
+    found: dict[str, int] = {}
+    for place, table in enumerate(tables):
+        if table.text(key) in found:
+            raise table.fail(key, f"{table.text(key)!r} is given twice")
+        found[table.text(key)] = place
+    return found
+
+
+def read_writes(extra: Table, classes: int) -> list[bool]:
+    writes = extra.each("ChangesData", bool, "true and false")
+    if writes and len(writes) != classes:
+        raise extra.fail("ChangesData", f"want one for each of {classes} classes, found {len(writes)}")
+    return writes
 
 
 def read_config(environment: Mapping[str, str], fronts: Path = FRONTS) -> Config:
@@ -277,6 +303,8 @@
         raise BadConfig(f"RELAY_CONFIG: cannot read {path}: {error.strerror}") from error
     except ValueError as error:
         raise BadConfig(f"RELAY_CONFIG: {path} is no JSON: {error}") from error
+    except RecursionError as error:
+        raise BadConfig(f"RELAY_CONFIG: {path} is nested too deeply") from error
     if not isinstance(values, dict):
         raise BadConfig(f"RELAY_CONFIG: {path} holds no object")
     root = Table(values, "")
@@ -308,12 +336,12 @@
         settings=read_settings(facts.values, seed),
         classes=classes,
         plans=plans,
-        give_up=[lane.number("GiveUpS", math.inf) for lane in lanes],
-        writes=[bool(one) for one in extra.get("ChangesData", [])],
+        give_up=[lane.number("GiveUpS", math.inf, above=0.0) for lane in lanes],
+        writes=read_writes(extra, len(lanes)),
         shards=extra.whole("Shards", 0, 1 << 31, 0),
-        zones={zone: place for place, zone in enumerate(facts.get("Areas", []))},
-        dial_timeout=limits.number("DialTimeoutS", 0.25),
-        idle_close=limits.number("IdleCloseS", 30.0),
+        zones={zone: place for place, zone in enumerate(facts.each("Areas", str, "texts"))},
+        dial_timeout=limits.number("DialTimeoutS", 0.25, above=0.0),
+        idle_close=limits.number("IdleCloseS", 30.0, above=0.0),
         sftp=sftp,
         vrrp=vrrp,
     )
@@ -356,8 +384,8 @@
     front = SftpFront(
         listen=table.address("listen"),
         volumes=sorted(volumes, key=lambda volume: -len(volume.prefix)),
-        read_class=table.one_of("read_class", classes, "tile-read"),
-        write_class=table.one_of("write_class", classes, "record-write"),
+        read_class=table.one_of("read_class", classes),
+        write_class=table.one_of("write_class", classes),
         box_port=table.whole("box_port", 0, 65535, 0),
         most_upload=table.whole("most_upload", 1, MOST_WRITE, MOST_WRITE),
         unit_bytes=table.whole("unit_bytes", 1, MOST_WRITE, 8192),
--- a/cleatyoke/net/messages.py
+++ b/cleatyoke/net/messages.py
@@ -17,12 +17,13 @@
 from multidict import CIMultiDictProxy
 
 from cleatyoke import api
-from cleatyoke.config import Address, BadConfig, Config, read_address
+from cleatyoke.config import Address, BadConfig, Config, finite, read_address
 from cleatyoke.directory import Instance, Listing
 
 MOST_BODY = 64 * 1024  # of a request
 MOST_ANSWER = 1024 * 1024  # bytes of the body of a box's answer; boxes send more than a request may hold
 LONGEST_WAIT_MS = 600_000
+LATEST_MS = 1e14  # Unix time of a start that discovery may name
 MOST_ID = 128
 MOST_HEAD = 16 * 1024  # bytes of the head of a box's answer
 MOST_EARLY = 8  # 1xx answers in front of one
@@ -250,7 +251,7 @@
 def decode_listing(text: str | bytes) -> Listing:
     try:
         return read_listing(json.loads(text))
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise BadMessage(str(error)) from error
 
 
@@ -276,8 +277,8 @@
         raise BadMessage(f"lifecycle: unknown state {state!r}")
     if cell is not None and (isinstance(cell, bool) or not isinstance(cell, int)):
         raise BadMessage(f"cell: want a whole number, found {cell!r}")
-    if isinstance(started, bool) or not isinstance(started, int | float):
-        raise BadMessage(f"startedAtMs: want a number, found {started!r}")
+    if not finite(started) or not 0 <= started <= LATEST_MS:
+        raise BadMessage(f"startedAtMs: want Unix time in milliseconds, found {started!r}")
     try:
         address = read_address(str(entry.get("hostPort")), "hostPort")
     except BadConfig as error:
