Keep the watch on discovery up after a fault of the front's own

Seen in reading: an exception that the watch does not expect ended its task, and nothing called discovery again; found with a list nested so deeply that its reading raises RecursionError. At fault: the except clauses of Watch.run. It is logged now, and the whole list is taken anew.

--- a/cleatyoke/net/discovery.py
+++ b/cleatyoke/net/discovery.py
@@ -61,7 +61,7 @@
             if line.strip() and error.pos >= len(error.doc.rstrip()):
                 return None  # it ended amid an object, as an indented one does
             raise BadMessage(str(error)) from error
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise BadMessage(str(error)) from error
         text, self.text = self.text, b""
         return text
@@ -151,6 +151,9 @@
                 except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
                     why = f"{type(error).__name__}: {error}"
                     log.warning("discovery_lost", address=self.url, why=why, failures=self.failures)
+                except Exception:  # guards the watch: nothing else would ever call again
+                    log.exception("discovery_fault", address=self.url)
+                    self.version = None
                 pause = self.owner.pause(self.failures)
                 self.failures += 1
                 await asyncio.sleep(min(pause, MOST_MOVED) if self.moving() else pause)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -233,6 +233,11 @@
         kinds = [(one.kind, one.entries[0].state) for one in news if isinstance(one, api.NodeList)]
         self.assertEqual(kinds[1], (api.ListKind.CHANGES, api.NodeState.DRAINING))
 
+    async def test_a_fault_of_the_front_s_own_does_not_end_the_watch(self) -> None:
+        with mock.patch.object(Directory, "apply", side_effect=[KeyError("of ours"), []]):
+            found = await self.calls(whole, whole, silent)
+        self.assertEqual(found[:2], ["/discovery/hosts"] * 2)
+
     async def test_an_address_that_refuses_is_called_until_it_does_not(self) -> None:
         agent = await ScriptedAgent(whole, silent).start()
         self.addCleanup(agent.stop)
