--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,33 @@
+"""The list of known failures passes over those alone, and none that passes."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+TESTS = "def test_red():\n    assert False\n\ndef test_green():\n    pass\n"
+
+
+@pytest.mark.parametrize(
+    ("listed", "code", "said"),
+    [
+        ("", 1, "1 failed, 1 passed"),
+        ("test_it.py::test_red, a cause, issue 5\n", 0, "known red: test_it.py::test_red, a cause, issue 5"),
+        ("test_it.py::test_red, x, 5\ntest_it.py::test_green, x, 5\n", 1, "1 failed, 1 xfailed"),
+        ("test_it.py::test_gone, x, 5\n", 4, "no such test"),
+        ("a\nb\nc\nd\n", 4, "4 lines, 3 at most"),
+    ],
+)
+def test_the_list_is_strict(tmp_path: Path, listed: str, code: int, said: str) -> None:
+    (tmp_path / "test_it.py").write_text(TESTS)
+    (tmp_path / "conftest.py").write_text((Path(__file__).parent / "conftest.py").read_text())
+    (tmp_path / "KNOWN-RED.txt").write_text(listed)
+    result = subprocess.run(
+        [sys.executable, "-m", "pytest", "-p", "no:cacheprovider", "--rootdir", str(tmp_path), str(tmp_path)],
+        cwd=tmp_path, capture_output=True, text=True,
+    )  # fmt: skip
+    assert result.returncode == code, result.stdout + result.stderr
+    assert said in result.stdout + result.stderr
--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -14,3 +14,9 @@
     with contextlib.redirect_stdout(printed):
         exec(compile(code, str(README), "exec"), {})
     assert "Send(request='a', node=11)" in printed.getvalue()
+
+
+def test_ci_runs_the_test_command_of_the_readme() -> None:
+    commands = re.findall(r"^    (\.venv/bin/python -m pytest.*)$", README.read_text(), re.MULTILINE)
+    assert commands == [".venv/bin/python -m pytest"]
+    assert f"exec {commands[0]}\n" in (README.parent / ".ci" / "run").read_text()
