Test the process's end, readiness and descriptors on loopback

Three stories of the whole process: what was taken before SIGTERM is answered though its client waits 30 s; /up says yes within 10 s though discovery is silent; clients that fill all descriptors keep it from neither discovery nor nodes.

--- /dev/null
+++ b/tests/test_daemon.py
@@ -0,0 +1,108 @@
+"""The whole process on loopback: its end, its readiness and its descriptors."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+import resource
+import signal
+import tempfile
+from typing import Any
+
+import aiohttp
+
+from tests.test_http_front import HEADERS, TARGET, DaemonCase, entry
+from tests.wire import FACTS, DiscoveryAgent, HttpBox, answer
+
+SOCKETS = 112  # the least that the settings may allow
+
+
+async def prompt(trace: str) -> bytes:
+    return answer()
+
+
+async def silent(trace: str) -> bytes:
+    await asyncio.Event().wait()
+    raise AssertionError
+
+
+class Process(DaemonCase):
+    async def begin(self, **changes: Any) -> None:
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        self.daemon = await self.start(folder, **changes)
+        self.addAsyncCleanup(self.finish)
+        (port,) = re.findall(rb"port=(\d+)\)", await self.line(self.daemon, b"event='ready'"))
+        self.port = int(port)
+        self.client = aiohttp.ClientSession()
+        self.addAsyncCleanup(self.client.close)
+
+    async def finish(self) -> None:
+        if self.daemon.returncode is None:
+            self.daemon.kill()
+        await self.daemon.communicate()
+
+    async def box(self, script: Any) -> HttpBox:
+        box: HttpBox = await HttpBox(script).start()
+        self.addCleanup(box.stop)
+        return box
+
+    async def ask(self, target: str, **fields: str) -> int:
+        url = f"http://127.0.0.1:{self.port}{target}"
+        async with self.client.get(url, headers={**HEADERS, **fields}) as response:
+            return response.status
+
+    async def served(self, trace: str) -> None:
+        """The request is served in the end, under a new id each time."""
+        tries = 0
+        async with asyncio.timeout(20):
+            while await self.ask(TARGET, **{"X-Trace-Id": f"{trace}{tries}"}) != 200:
+                tries += 1
+                await asyncio.sleep(0.05)
+
+    async def test_what_was_taken_before_sigterm_is_answered_though_its_client_waits_for_longer(self) -> None:
+        box = await self.box(silent)
+        lanes = [{**lane, "GiveUpS": 30.0, "AimS": 9.0} for lane in FACTS["Lanes"]]
+        known = {"generation": 1, "reset": True, "instances": [entry("SERVING", box.port)]}
+        await self.begin(settings={**FACTS, "Lanes": lanes}, known=known)
+        asking = asyncio.create_task(self.ask(TARGET, **{"X-Trace-Id": "t", "X-Expires-In-Ms": "30000"}))
+        while not box.counts["t"]:
+            await asyncio.sleep(0.005)
+        self.daemon.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(10):  # the answer comes before the end, which is due after 3.7 s
+            self.assertIn(await asking, (502, 503))
+            self.assertEqual(await self.daemon.wait(), 0)
+
+    async def test_it_is_ready_soon_though_discovery_is_silent(self) -> None:
+        quiet = await asyncio.start_server(lambda reader, writer: asyncio.sleep(60), "127.0.0.1", 0)
+        self.addCleanup(quiet.close)
+        await self.begin(discovery=f"127.0.0.1:{quiet.sockets[0].getsockname()[1]}")
+        async with asyncio.timeout(10):
+            while await self.ask("/up") != 200:
+                await asyncio.sleep(0.02)
+
+    async def test_idle_clients_that_fill_the_descriptors_keep_it_from_neither_discovery_nor_nodes(
+        self,
+    ) -> None:
+        box = await self.box(prompt)
+        whole = {"generation": 1, "reset": True, "instances": [entry("SERVING", box.port)]}
+        down = await asyncio.start_server(lambda reader, writer: writer.close(), "127.0.0.1", 0)
+        port = down.sockets[0].getsockname()[1]
+        await self.begin(discovery=f"127.0.0.1:{port}", limits={"sockets": SOCKETS})
+        resource.prlimit(self.daemon.pid, resource.RLIMIT_NOFILE, (SOCKETS, SOCKETS))
+        idle = await asyncio.gather(
+            *[asyncio.open_connection("127.0.0.1", self.port) for _ in range(2 * SOCKETS)]
+        )
+        self.assertNotEqual(await self.ask(TARGET, **{"X-Trace-Id": "early"}), 200)  # no list has come
+        down.close()
+        agent = DiscoveryAgent(whole, [])
+        agent.server = await asyncio.start_server(agent.connected, "127.0.0.1", port)
+        self.addCleanup(agent.stop)
+        await self.served("t")
+        self.assertIsNone(self.daemon.returncode)
+        self.daemon.send_signal(signal.SIGTERM)
+        for _, writer in idle:
+            writer.close()
+        _, rest = await asyncio.wait_for(self.daemon.communicate(), 10)
+        self.assertEqual(self.daemon.returncode, 0)
+        self.assertNotIn(b"Traceback", rest)
+        self.assertLess(rest.count(b"\n"), 1000, "a log that runs on is a loop that does")
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -545,7 +545,7 @@
         silent.close()
 
 
-class DaemonStories(unittest.IsolatedAsyncioTestCase):
+class DaemonCase(unittest.IsolatedAsyncioTestCase):
     async def start(
         self, folder: str, variables: dict[str, str] | None = None, **changes: Any
     ) -> asyncio.subprocess.Process:
@@ -559,6 +559,15 @@
             env={**kept, **(variables or {}), "RELAY_CONFIG": str(path)},
         )  # fmt: skip
 
+    async def line(self, daemon: asyncio.subprocess.Process, word: bytes) -> bytes:
+        assert daemon.stderr
+        async with asyncio.timeout(10):
+            while word not in (line := await daemon.stderr.readline()):
+                self.assertTrue(line, "the daemon ended")
+        return line
+
+
+class DaemonStories(DaemonCase):
     async def test_sigterm_answers_what_was_taken_and_what_still_comes(self) -> None:
         release = asyncio.Event()
 
@@ -607,13 +616,6 @@
         box.stop()
         agent.stop()
 
-    async def line(self, daemon: asyncio.subprocess.Process, word: bytes) -> bytes:
-        assert daemon.stderr
-        async with asyncio.timeout(10):
-            while word not in (line := await daemon.stderr.readline()):
-                self.assertTrue(line, "the daemon ended")
-        return line
-
     async def test_sighup_takes_the_new_discovery_from_the_file_and_keeps_the_old_on_a_fault(self) -> None:
         async def script(trace: str) -> bytes:
             return answer()
