Send a cold node a drawn part of what the fleet is asked for, so that no credit adds up

Each saved up its part while nothing came, so that a burst sent up to 60 requests in the second that bears 11 + 2 x 3.3 + 2; also without a burst the sum went over, as the part grew to two cores' whatever the node has. At fault: Policy.bears_at and the ceiling of Node.cold. Each request now goes or not by one draw: the host's part of what the node bears over what it could send there, by all of its traffic now and the cell's part of that over long; what is inside reserves comes first; who knows little yet is held to half a window's part. A request that is passed over is given up at once.

--- a/cleatyoke/rules.py
+++ b/cleatyoke/rules.py
@@ -13,7 +13,7 @@
 
 from cleatyoke import api
 from cleatyoke.api import Ended, ListKind, NodeState, Outcome, Repeat, Scope
-from cleatyoke.state import Agenda, Node, Request, Store, Volume, forget_before
+from cleatyoke.state import Agenda, Demand, Node, Request, Store, Volume, forget_before
 
 INTERVAL = 1.0  # seconds between control rounds; the paper's two seconds trail a surge
 FIT = 5  # intervals in a slope fit: the design's
@@ -26,6 +26,8 @@
 LOST = 0.4  # of the aim: the least for which an attempt whose answer seems lost may be out
 GAIN = 0.1  # weight of one answer in a running mean, more where answers are rare
 OTHERS = 1.0  # seconds over which the use of volumes through other hosts is averaged
+BORNE = 0.75  # of what a cold node should bear: the pace is that of short answers, and chance wants room
+FEW = 16.0  # requests that a host has to have seen lately, to go by what it usually is asked
 SPARE_MOST = 64.0  # times its start that a node's spare rate may reach: all that a volume asks
 NEVER_RAN = (Outcome.FULL, Outcome.NO_CONNECTION, Outcome.NOT_SENT)
 
@@ -63,7 +65,8 @@
         self.touched: dict[int, Node] = {}  # nodes that may have something new to choose
         self.doubtful: list[Request] = []  # if still held after this step, is there any use in waiting?
         self.interval_at = self.born = self.bell_at = math.inf
-        self.now, self.dice = 0.0, random.Random(settings.seed)
+        self.now, self.random = 0.0, random.Random(settings.seed)
+        self.demand = Demand(max(settings.safety.tip_after, INTERVAL), IDLE, settings.mean or 1.0)
         self.actions: list[api.Action] = []
         if settings.must_watch:
             self.agenda.add(-math.inf, None)
@@ -164,6 +167,7 @@
             volume.due = defaultdict(float, {at: due for at, due in volume.due.items() if at >= oldest})
         self.nodes = {name: node for name, node in self.nodes.items() if node.live or node.answered > idle}
         self.tries = {item: tried for item, tried in self.tries.items() if tried[1] > oldest}
+        self.demand.clean_up(self.now)
         self.keys = {key: queue for key, queue in self.keys.items() if queue}
         self.held = {cell: queue for cell, queue in self.held.items() if queue}
         self.key_rest = {key: rest for key, rest in self.key_rest.items() if rest > self.now}
@@ -213,9 +217,10 @@
             rank = (in_split, self.worth(request, node), -request.aim_at)
             if best is None or rank > best_rank:
                 ready = max(node.hold_until, self.spare_at(request, node), self.may_send_at(request, node))
-                if ready <= self.now:
+                if ready > self.now:
+                    again = min(again, ready)
+                elif self.bears(request, node):
                     best, best_rank = request, rank
-                again = min(again, ready)
         if best is None and again < math.inf and not self.now < node.wake_at <= again:
             node.wake_at = again
             self.agenda.add(again, node)
@@ -276,12 +281,13 @@
         elif self.safety.extra_window is not None:
             self.extras.append(self.now)
         self.tally["sent" if sure else "sent_spare"] += 1
+        if not request.borne:
+            self.demand.add(request.cell, request.units, sure, self.now)
         self.held[request.cell].remove(request)
         request.out[request.sends] = node, self.now
         self.agenda.add(self.now + self.patience(request, node, -math.inf), request)
         request.sends += 1
         node.out[request.index] += 1
-        node.cold.level -= request.units
         self.actions.append(api.Send(request.id, node.id))
 
     # Events
@@ -431,9 +437,8 @@
                 self.nodes[entry.node] = Node(entry, len(self.bounds), depth, self.queue_aim / 2, self.spare)
             node = self.nodes[entry.node]
             node.live = entry.state is NodeState.LIVE
-            if entry.up_since > node.up_since:  # in debt by chance, so that many hosts do not send as one
-                debt, node.up_since = self.dice.random() * self.settings.mean, entry.up_since
-                node.cold = Store(-debt, self.now)
+            if entry.up_since > node.up_since:
+                node.up_since, node.cold = entry.up_since, Store(math.inf, self.now)
         self.holder = {}
         for node in self.nodes.values():
             rival = self.holder.get(node.cell, node)
@@ -449,8 +454,7 @@
         answered = self.now + self.answer_time(request, node)
         if answered >= request.deadline - MARGIN or not self.within_group(request, node):
             return math.inf
-        return max(self.in_turn_at(request), self.within_budget_at(request), self.within_limit_at(request),
-                   self.bears_at(node))
+        return max(self.in_turn_at(request), self.within_budget_at(request), self.within_limit_at(request))
 
     def in_turn_at(self, request: Request) -> float:
         """Order by key: the oldest of its key, once the key has rested."""
@@ -486,20 +490,29 @@
         store.fill(rate, plan.limit_burst / request.hosts, self.now)
         return self.now + max(0.0, request.units - store.level) / rate
 
-    def bears_at(self, node: Node) -> float:
-        """Cold nodes: in debt for each send until this host's part of what the node bears has paid it off: by
-        its usual rate there, as all hosts' add up to a warm node's, or an even part of the stated units or of
-        what a core or two serve, by all nodes' pace: a host that has just started knows no usual rate."""
-        safety, age = self.safety, self.now - node.up_since
+    def bears(self, request: Request, node: Node) -> bool:
+        """Cold nodes: each request goes or not by one draw, so that of all that the hosts are asked for a
+        cold node is sent what it bears. Guards against many hosts that each save up an even part and send it
+        in the same burst. This host's part is its usual rate there, as all hosts' add up to a warm node's,
+        or an even part of the stated units or of what a core serves, by all nodes' pace."""
+        safety, age, start = self.safety, self.now - node.up_since, (node.id, node.up_since)
         if node.up_since <= 0 or age >= safety.ramp:
-            return self.now
-        share = safety.cold_from + (1 - safety.cold_from) * max(0.0, age - safety.tip_after) / safety.ramp
-        cores = 1 + age / safety.ramp  # it bears twice what it can do, and few hosts ask all nodes at a time
-        even = cores / self.pace / self.hosts if self.pace else 0.0
-        warm = max(self.usual.get(node.cell, 0.0), even) * share * safety.tip_multiple
-        rate = max(warm, self.settings.cold_units / safety.tip_after / self.hosts, 1e-9)
-        node.cold.fill(rate, self.settings.mean / 2, self.now)  # under a request: none follows at once
-        return self.now + max(0.0, -node.cold.level) / rate
+            return True
+        if start not in request.borne:
+            sure = still_due(request) >= request.units
+            self.demand.add(request.cell, request.units, sure, self.now)
+            share = safety.cold_from + (1 - safety.cold_from) * max(0.0, age - safety.tip_after) / safety.ramp
+            usual = max(self.usual.get(node.cell, 0.0), 1 / self.pace / self.hosts if self.pace else 0.0)
+            least = self.settings.cold_units / safety.tip_after / self.hosts
+            part = max(BORNE * usual * share * safety.tip_multiple, least)
+            due, asked = self.demand.at(request.cell, request.units, self.now)
+            mine, before = (due, 0.0) if sure else (asked - due, due)
+            node.cold.fill(part, part * safety.tip_after * (0.5 + self.demand.seen(self.now) / FEW), self.now)
+            chance = clamp((part - before) / max(mine, 1e-9), 0.0, min(1.0, node.cold.level / request.units))
+            node.cold.level -= chance * request.units
+            request.borne[start] = self.random.random() < chance
+            self.doubtful += [] if request.borne[start] else [request]  # no use in waiting
+        return request.borne[start]
 
     def keep_or_give_up(self, request: Request) -> None:
         """A held request is kept while it can be in time; once late it goes at once, or is given up.
@@ -510,8 +523,9 @@
         ready_at, hopeless = math.inf, request.cell != -1 or not self.holder
         if node:
             late_at -= self.answer_time(request, node)
-            ready_at = max(node.hold_until, self.bears_at(node), self.spare_at(request, node))
-            hopeless = ready_at >= request.deadline or not self.within_group(request, node)
+            ready_at = max(node.hold_until, self.spare_at(request, node))
+            passed_over = not request.borne.get((node.id, node.up_since), True)
+            hopeless = passed_over or ready_at >= request.deadline or not self.within_group(request, node)
         late_at = min(late_at, request.deadline - MARGIN)
         if late_at <= self.now or hopeless:
             busy = self.queue_time(node) if node and sum(node.out) >= int(node.depth) else 0.0
@@ -523,7 +537,9 @@
         """What kept a request from its node longest: for the log."""
         if not node:
             return "no_node"
-        waits = {"hold": node.hold_until, "cold": self.bears_at(node), "spare": self.spare_at(request, node),
+        if not request.borne.get((node.id, node.up_since), True):
+            return "cold"
+        waits = {"hold": node.hold_until, "spare": self.spare_at(request, node),
                  "limit": self.within_limit_at(request)}
         longest = max(waits, key=lambda name: waits[name])
         free = sum(node.out) < int(node.depth)
--- a/cleatyoke/state.py
+++ b/cleatyoke/state.py
@@ -23,6 +23,7 @@
         self.key = event.item if kind.ordered else None
         self.full = 0.0  # units sent on the reserve
         self.sends, self.over = 0, False
+        self.borne: dict[tuple[int, float], bool] = {}  # cold nodes, by start: drawn as one of their part
         self.out: dict[int, tuple[Node, float]] = {}  # attempt number: where and when it was sent
         self.ran: list[tuple[float, Node]] = []  # attempts that may have run: when sent, where
 
@@ -43,7 +44,7 @@
         self.out = [0] * classes
         self.split = [1] * classes
         self.demand = [0.0] * classes
-        self.cold = Store(0.0, 0.0)  # after a start: what this host may send, 0 at most
+        self.cold = Store(math.inf, 0.0)  # after a start: expected units that may still be sent at once
         self.hold_until, self.failures = 0.0, 0  # nothing is sent before; ends without an answer in a row
         self.used, self.wake_at = 0.0, math.inf  # the last send to it, and the next look that is due
         self.done_units = 0.0
@@ -61,6 +62,57 @@
         self.filled = now
 
 
+class Rate:
+    """Units a second, in the mean over the last ``span`` seconds or so."""
+
+    def __init__(self, span: float) -> None:
+        self.span, self.mean, self.read_at = span, 0.0, 0.0
+
+    def at(self, now: float) -> float:
+        self.mean *= math.exp((self.read_at - now) / self.span)
+        self.read_at = now
+        return self.mean
+
+    def add(self, units: float, now: float) -> None:
+        self.mean = self.at(now) + units / self.span
+
+
+class Demand:
+    """What this host could send just now, in all and inside reserves, and each cell's part of it.
+
+    A host hears of one cell too seldom to know its rate of the moment; how all of its traffic goes now, and
+    the cell's part of it over long, tell it. Who knows little yet takes all for the cell's."""
+
+    def __init__(self, recent: float, long: float, mean: float) -> None:
+        self.recent, self.long, self.mean = recent, long, mean
+        self.all, self.due, self.total = Rate(recent), Rate(recent), Rate(long)
+        self.cells: dict[int, tuple[Rate, Rate]] = {}  # lately, and over long
+
+    def add(self, cell: int, units: float, due: bool, now: float) -> None:
+        lately, usually = self.cells.setdefault(cell, (Rate(self.recent), Rate(self.long)))
+        for rate, amount in (
+            (self.all, units), (self.due, units * due), (self.total, units), (lately, units), (usually, units)
+        ):  # fmt: skip
+            rate.add(amount, now)
+
+    def at(self, cell: int, units: float, now: float) -> tuple[float, float]:
+        """Units a second for the cell inside reserves, and in all; ``units`` of them came just now."""
+        lately, usually = self.cells[cell]
+        few = self.mean / self.long
+        part = 1.0 if cell == -1 else (usually.at(now) + few) / (self.total.at(now) + few)
+        every, due = self.all.at(now), self.due.at(now)
+        asked = max(part * every, lately.at(now) - units / self.recent)
+        return asked * min(1.0, due / every), asked
+
+    def seen(self, now: float) -> float:
+        """Requests that what is known rests on."""
+        return self.total.at(now) * self.long / self.mean
+
+    def clean_up(self, now: float) -> None:
+        few = self.mean / self.long / self.long
+        self.cells = {cell: rates for cell, rates in self.cells.items() if rates[1].at(now) > few}
+
+
 class Volume:
     """This host's part of a volume's reserve and limit."""
 
