Send a keyed request's repeat only while its first attempt is still remembered

Seen in reading: the policy checks the window for repeats when it decides, but a connection may take DialTimeoutS to come up, so that the repeat's first byte could fall past MemorySpanS and run its effect twice. At fault: api.Send, which carried no limit for the first byte; Core.left now says that nothing is left past it.

--- a/cleatyoke/api.py
+++ b/cleatyoke/api.py
@@ -5,7 +5,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import math
+from dataclasses import dataclass, field
 from enum import Enum
 
 
@@ -176,8 +177,11 @@
 
 @dataclass(slots=True)
 class Send:
+    """One attempt; its first byte goes no later than ``until``, however late the connection comes up."""
+
     request: str
     node: int
+    until: float = field(default=math.inf, repr=False, compare=False)
 
 
 @dataclass(slots=True)
--- a/cleatyoke/core.py
+++ b/cleatyoke/core.py
@@ -58,14 +58,14 @@
 class Call:
     """A request being served: what the policy says of it, and the timers of its answer and its attempt."""
 
-    __slots__ = ("attempts", "deadline", "may_have_run", "out", "timer", "words")
+    __slots__ = ("attempts", "deadline", "may_have_run", "out", "timer", "until", "words")
 
     def __init__(self, deadline: float) -> None:
         self.words: asyncio.Queue[api.Send | api.Refuse | api.Fail] = asyncio.Queue()
         self.deadline = deadline
         self.timer: asyncio.Timeout | None = None
         self.out: asyncio.Timeout | None = None
-        self.attempts = 0
+        self.attempts, self.until = 0, math.inf
         self.may_have_run = False
 
 
@@ -113,9 +113,11 @@
                     timer.reschedule(due)
 
     def left(self, request: str) -> float:
-        """Seconds that an attempt of this request may still take; none once the request is over."""
+        """Seconds for an attempt that has not begun; none if it must not begin any more."""
         call = self.calls.get(request)
-        return call.deadline - ATTEMPT_MARGIN - self.now() if call else 0.0
+        if call is None or self.now() > call.until:
+            return 0.0
+        return call.deadline - ATTEMPT_MARGIN - self.now()
 
     def new_id(self) -> str:
         """Ids of the core's own: a client that repeats one of its ids mixes nothing up."""
@@ -162,7 +164,8 @@
             async with asyncio.timeout_at(limit) as call.timer:
                 while True:
                     match await call.words.get():
-                        case api.Send(_, node):
+                        case api.Send(_, node, until):
+                            call.until = until
                             ending = await self.attempt(ask, call, node, attempt)
                             if ending.outcome is api.Outcome.SERVED:
                                 return Served(ending.value)
@@ -200,7 +203,8 @@
             settled = ending.outcome is api.Outcome.SERVED
         except TimeoutError:
             settled = False
-            ending = Ending(api.Outcome.TIMEOUT if self.left(ask.request) <= 0 else api.Outcome.CANCELLED)
+            late = self.now() >= call.deadline - ATTEMPT_MARGIN
+            ending = Ending(api.Outcome.TIMEOUT if late else api.Outcome.CANCELLED)
         except Exception:
             log.exception("attempt_fault", node=node)
             ending, settled = Ending(api.Outcome.RESET), False  # in doubt, it may have run
--- a/cleatyoke/rules.py
+++ b/cleatyoke/rules.py
@@ -288,7 +288,9 @@
         self.agenda.add(self.now + self.patience(request, node, -math.inf), request)
         request.sends += 1
         node.out[request.index] += 1
-        self.actions.append(api.Send(request.id, node.id))
+        until = request.ran[0][0] + request.kind.memory - MARGIN if request.ran else math.inf
+        keyed = request.kind.repeat is Repeat.KEYED  # past that its repeats are no longer dropped
+        self.actions.append(api.Send(request.id, node.id, until if keyed else math.inf))
 
     # Events
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -262,6 +262,27 @@
         self.assertNotEqual(status, 200)
         self.assertEqual(self.box.counts["t"], 0)
 
+    async def test_a_keyed_request_is_not_repeated_once_nobody_remembers_it(self) -> None:
+        """Its second attempt is decided inside the window, but its connection comes up past it."""
+
+        async def script(trace: str) -> bytes | None:
+            return None  # it may have run
+
+        await self.begin(script)
+        kind = self.core.policy.settings.classes[0]
+        kind.repeat, kind.memory = api.Repeat.KEYED, 0.5
+        dials = []
+
+        def late() -> None:
+            dials.append(self.core.now())
+            if len(dials) == 2:
+                self.core.offset += 0.6
+
+        with self.after_dial(late):
+            status, _ = await self.ask("t")
+        self.assertNotEqual(status, 200)
+        self.assertEqual((self.box.counts["t"], len(dials)), (1, 2))
+
     async def test_a_connection_that_was_not_needed_in_the_end_is_kept(self) -> None:
         await self.begin(prompt)
         found = await self.boxes.attempt(1, mock.Mock(), lambda: 0.0)
