--- a/cleatyoke/__main__.py
+++ b/cleatyoke/__main__.py
@@ -23,8 +23,8 @@
 from cleatyoke.sftp.front import FileFront
 from cleatyoke.vrrp import Carrier
 
-FIRST_WORD = 1.0  # seconds for discovery's first word, after which the old list has to do
-LINGER = 0.75  # seconds after SIGTERM in which everything is accepted at the least
+FIRST_LIST = 1.0  # seconds for discovery's first word, after which the old list has to do
+LEAST_ACCEPTING = 0.75  # seconds after SIGTERM in which everything is accepted at the least
 ANSWERS = 2.0  # times the shortest aim: what is kept for what is taken last
 EXIT = 0.15  # seconds kept for the exit itself
 log = structlog.get_logger()
@@ -44,12 +44,12 @@
     )
 
 
-def lingers(last: float, aims: list[float]) -> float:
+def accepting_time(last: float, aims: list[float]) -> float:
     """Seconds for which a front that leaves goes on taking requests: while the quickest class can be served.
 
     Guards the clients of a front that is not back before it is ended: none else serves them meanwhile. What
     comes of a slower class has its answer by ``last`` all the same."""
-    return max(LINGER, last - ANSWERS * min(aims))
+    return max(LEAST_ACCEPTING, last - ANSWERS * min(aims))
 
 
 class FileService:
@@ -103,7 +103,7 @@
     def ready() -> bool:
         """The list is known: by discovery's word or, where that comes in turn, by the old copy."""
         turn = callers > 1 and bool(directory.boxes)
-        return turn or discovery.heard.is_set() or loop.time() - began > FIRST_WORD
+        return turn or discovery.heard.is_set() or loop.time() - began > FIRST_LIST
 
     front = Front(config, core, boxes, ready)
     discovery.start()
@@ -139,14 +139,14 @@
     log.info("leaving", open=len(core.calls))
     last = config.notice() - EXIT
     core.drain(last - DRAIN)
-    linger = lingers(last, [kind.aim for kind in config.settings.classes])
+    accepting = accepting_time(last, [kind.aim for kind in config.settings.classes])
 
     async def close_files() -> None:
-        await asyncio.sleep(LINGER)
-        await files.close(last - LINGER)
+        await asyncio.sleep(LEAST_ACCEPTING)
+        await files.close(last - LEAST_ACCEPTING)
 
     async def close_front() -> None:
-        await asyncio.sleep(linger)
+        await asyncio.sleep(accepting)
         await front.close()
 
     try:
--- a/cleatyoke/core.py
+++ b/cleatyoke/core.py
@@ -58,13 +58,13 @@
 class Call:
     """A request being served: what the policy says of it, and the timers of its answer and its attempt."""
 
-    __slots__ = ("attempts", "deadline", "may_have_run", "out", "timer", "until", "words")
+    __slots__ = ("actions", "answer_timer", "attempt_timer", "attempts", "deadline", "may_have_run", "until")
 
     def __init__(self, deadline: float) -> None:
-        self.words: asyncio.Queue[api.Send | api.Refuse | api.Fail] = asyncio.Queue()
+        self.actions: asyncio.Queue[api.Send | api.Refuse | api.Fail] = asyncio.Queue()
         self.deadline = deadline
-        self.timer: asyncio.Timeout | None = None
-        self.out: asyncio.Timeout | None = None
+        self.answer_timer: asyncio.Timeout | None = None
+        self.attempt_timer: asyncio.Timeout | None = None
         self.attempts, self.until = 0, math.inf
         self.may_have_run = False
 
@@ -78,7 +78,7 @@
         self.policy = Policy(settings)
         self.calls: dict[str, Call] = {}
         self.events: list[api.Event] = []
-        self.bell: asyncio.TimerHandle | None = None
+        self.wake_timer: asyncio.TimerHandle | None = None
         self.numbered = 0
         self.last_answer = math.inf  # a process that is to end answers nothing later
         self.lag = 0.0  # the longest that a wake-up of the loop came late since the last report
@@ -107,7 +107,7 @@
         self.last_answer = self.now() + seconds
         for call in self.calls.values():
             call.deadline = min(call.deadline, self.last_answer)
-            for timer, margin in ((call.timer, ANSWER_MARGIN), (call.out, ATTEMPT_MARGIN)):
+            for timer, margin in ((call.answer_timer, ANSWER_MARGIN), (call.attempt_timer, ATTEMPT_MARGIN)):
                 due = call.deadline - margin - self.offset
                 if timer and not timer.expired() and due < (timer.when() or math.inf):
                     timer.reschedule(due)
@@ -140,16 +140,16 @@
             match action:
                 case api.Send(request) | api.Refuse(request) | api.Fail(request):
                     if call := self.calls.get(request):
-                        call.words.put_nowait(action)
+                        call.actions.put_nowait(action)
                 case api.Cancel(request, attempt):
                     call = self.calls.get(request)
-                    out = call.out if call and attempt == call.attempts - 1 else None
+                    out = call.attempt_timer if call and attempt == call.attempts - 1 else None
                     if out and not out.expired():  # its own timer may have fired in this very turn
                         out.reschedule(self.loop.time())
                 case api.Wake(after, token):
-                    if self.bell:
-                        self.bell.cancel()
-                    self.bell = self.loop.call_at(self.loop.time() + after, self.tell, api.Woken(token))
+                    if self.wake_timer:
+                        self.wake_timer.cancel()
+                    self.wake_timer = self.loop.call_at(self.loop.time() + after, self.tell, api.Woken(token))
                 case api.Watch():
                     pass  # the platform's discovery is watched from the start
 
@@ -161,9 +161,9 @@
         try:
             # A client that waits for less than the margin still hears the policy's word, which comes at once.
             limit = max(ask.deadline - ANSWER_MARGIN - self.offset, self.loop.time() + SOONEST)
-            async with asyncio.timeout_at(limit) as call.timer:
+            async with asyncio.timeout_at(limit) as call.answer_timer:
                 while True:
-                    match await call.words.get():
+                    match await call.actions.get():
                         case api.Send(_, node, until):
                             call.until = until
                             ending = await self.attempt(ask, call, node, attempt)
@@ -183,10 +183,10 @@
             return Failed() if call.may_have_run else Refused(self.policy.settings.retry_after)
         finally:
             del self.calls[ask.request]
-            while not call.words.empty():
+            while not call.actions.empty():
                 # Guards the policy's count of slots: a word to send that came too late is an attempt to it.
-                if isinstance(word := call.words.get_nowait(), api.Send):
-                    self.end(ask, call.attempts, word.node, Ending(api.Outcome.NOT_SENT), 0.0, settled=True)
+                if isinstance(action := call.actions.get_nowait(), api.Send):
+                    self.end(ask, call.attempts, action.node, Ending(api.Outcome.NOT_SENT), 0.0, settled=True)
 
     async def attempt(
         self, ask: api.Arrival, call: Call, node: int, attempt: Attempt[T]
@@ -198,7 +198,7 @@
         before, call.may_have_run = call.may_have_run, True
         ending, settled = Ending[T](api.Outcome.CANCELLED), True  # a client that leaves takes it along
         try:
-            async with asyncio.timeout_at(call.deadline - ATTEMPT_MARGIN - self.offset) as call.out:
+            async with asyncio.timeout_at(call.deadline - ATTEMPT_MARGIN - self.offset) as call.attempt_timer:
                 ending = await attempt(node)
             settled = ending.outcome is api.Outcome.SERVED
         except TimeoutError:
@@ -209,7 +209,7 @@
             log.exception("attempt_fault", node=node)
             ending, settled = Ending(api.Outcome.RESET), False  # in doubt, it may have run
         finally:
-            call.out, call.may_have_run = None, before or ending.outcome not in NEVER_RAN
+            call.attempt_timer, call.may_have_run = None, before or ending.outcome not in NEVER_RAN
             self.end(ask, number, node, ending, self.now() - sent, settled)
         return ending
 
--- a/cleatyoke/net/boxes.py
+++ b/cleatyoke/net/boxes.py
@@ -33,7 +33,7 @@
 GAP = 0.05  # seconds for the head of an answer, once it has begun, and between the pieces of its body
 
 
-class Line(asyncio.Protocol):
+class Connection(asyncio.Protocol):
     """A connection to a box; it carries one exchange at a time."""
 
     def __init__(self) -> None:
@@ -118,7 +118,7 @@
 
     def __init__(self, address: Address) -> None:
         self.address, self.retired = address, False
-        self.idle: deque[Line] = deque()
+        self.idle: deque[Connection] = deque()
 
 
 class Boxes:
@@ -139,17 +139,17 @@
             while pool.idle:
                 self.drop(pool, pool.idle[0])
 
-    def drop(self, pool: Pool, line: Line) -> None:
+    def drop(self, pool: Pool, connection: Connection) -> None:
         """An idle connection has been so for long, or is in the way."""
-        self.take_out(pool, line)
-        line.abort()
+        self.take_out(pool, connection)
+        connection.abort()
 
-    def take_out(self, pool: Pool, line: Line) -> None:
-        pool.idle.remove(line)
+    def take_out(self, pool: Pool, connection: Connection) -> None:
+        pool.idle.remove(connection)
         self.open -= 1
-        line.left = None
-        if line.expiry:
-            line.expiry.cancel()
+        connection.left = None
+        if connection.expiry:
+            connection.expiry.cancel()
 
     async def attempt(self, node: int, ask: Ask, left: Callable[[], float]) -> Ending[bytes]:
         """Send the request to the box, once; any ending that is not proven harmless may have run. ``left``
@@ -159,18 +159,18 @@
         pool = self.pools.get(node)
         if pool is None:
             pool = self.pools[node] = Pool(self.directory.boxes[node].address)
-        line, answer, unused = None, None, False
+        connection, answer, unused = None, None, False
         self.open += 1
         try:
-            line = self.rested(pool) or await self.dial(pool)
+            connection = self.rested(pool) or await self.dial(pool)
             wait = left()  # the last look before the first byte: much may have come while it was dialled
             if pool.retired or wait <= 0:
                 unused = not pool.retired
                 return Ending(Outcome.NOT_SENT)
             try:
-                answer = await line.exchange(encode_attempt(ask, pool.address, wait))
+                answer = await connection.exchange(encode_attempt(ask, pool.address, wait))
             except SpoiltAnswer:
-                return Ending(Outcome.NO_CONNECTION if line.unwritten else Outcome.RESET)
+                return Ending(Outcome.NO_CONNECTION if connection.unwritten else Outcome.RESET)
             outcome = decode_outcome(answer.status, answer.headers)
             if outcome is not Outcome.SERVED:
                 return Ending(outcome)
@@ -179,25 +179,25 @@
             return Ending(Outcome.NO_CONNECTION)
         finally:
             reusable = unused or (answer is not None and answer.reusable)
-            if line and reusable and line.usable() and not pool.retired:
-                self.give_back(pool, line)
+            if connection and reusable and connection.usable() and not pool.retired:
+                self.give_back(pool, connection)
             else:
                 self.open -= 1
-                if line:
-                    line.abort()
+                if connection:
+                    connection.abort()
 
-    def rested(self, pool: Pool) -> Line | None:
+    def rested(self, pool: Pool) -> Connection | None:
         """An idle connection. One with bytes that nobody awaits, seen by the loop or not yet, is none."""
         now = asyncio.get_running_loop().time()
         while pool.idle and pool.idle[0].rested_at <= now:
-            line = pool.idle[0]
-            self.take_out(pool, line)
-            if line.usable():
-                return line
-            line.abort()
+            connection = pool.idle[0]
+            self.take_out(pool, connection)
+            if connection.usable():
+                return connection
+            connection.abort()
         return None
 
-    async def dial(self, pool: Pool) -> Line:
+    async def dial(self, pool: Pool) -> Connection:
         if self.open > self.most:  # as many are kept as clients can have requests: an idle one is in the way
             for other in self.pools.values():
                 if other.idle:
@@ -207,23 +207,23 @@
         try:
             async with asyncio.timeout(self.dial_timeout):
                 loop = asyncio.get_running_loop()
-                _, line = await loop.create_connection(Line, pool.address.host, pool.address.port)
+                _, connection = await loop.create_connection(Connection, pool.address.host, pool.address.port)
         except (OSError, TimeoutError):
             self.dial_failures += 1
             raise
-        return line
+        return connection
 
     def figures(self) -> dict[str, object]:
         """For the log: connections, and those that were dialled since the last call."""
         dials, failures, self.dials, self.dial_failures = self.dials, self.dial_failures, 0, 0
         return {"connections": self.open, "dials": dials, "dial_failures": failures}
 
-    def give_back(self, pool: Pool, line: Line) -> None:
+    def give_back(self, pool: Pool, connection: Connection) -> None:
         loop = asyncio.get_running_loop()
-        line.rested_at = loop.time() + REST
-        line.expiry = loop.call_later(self.keep, self.drop, pool, line)
-        line.left = partial(self.take_out, pool, line)
-        pool.idle.append(line)
+        connection.rested_at = loop.time() + REST
+        connection.expiry = loop.call_later(self.keep, self.drop, pool, connection)
+        connection.left = partial(self.take_out, pool, connection)
+        pool.idle.append(connection)
 
     def close(self) -> None:
         for node in list(self.pools):
--- a/cleatyoke/net/sockets.py
+++ b/cleatyoke/net/sockets.py
@@ -120,11 +120,11 @@
         self.socket = socket.create_server((host, port), family=family, backlog=BACKLOG)
         self.socket.setblocking(False)
         self.tasks: set[asyncio.Task[None]] = set()
-        self.bell: asyncio.TimerHandle | None = None
+        self.timer: asyncio.TimerHandle | None = None
         self.resume()
 
     def resume(self) -> None:
-        self.bell = None
+        self.timer = None
         self.loop.add_reader(self.socket, self.accept)
 
     def accept(self) -> None:
@@ -145,7 +145,7 @@
 
     def wait(self) -> None:
         self.loop.remove_reader(self.socket)
-        self.bell = self.loop.call_later(PAUSE, self.resume)
+        self.timer = self.loop.call_later(PAUSE, self.resume)
 
     async def connect(self, protocol: asyncio.Protocol, connection: socket.socket) -> None:
         try:
@@ -156,12 +156,12 @@
 
     def close(self) -> None:
         """Accept what the kernel holds, as far as there is room: closing the listener would reset it."""
-        if self.bell:
-            self.bell.cancel()
+        if self.timer:
+            self.timer.cancel()
         if self.socket.fileno() < 0:
             return
         self.accept()
-        if self.bell:
-            self.bell.cancel()
+        if self.timer:
+            self.timer.cancel()
         self.loop.remove_reader(self.socket)
         self.socket.close()
--- a/cleatyoke/rules.py
+++ b/cleatyoke/rules.py
@@ -64,7 +64,7 @@
         self.agenda = Agenda()
         self.touched: dict[int, Node] = {}  # nodes that may have something new to choose
         self.doubtful: list[Request] = []  # if still held after this step, is there any use in waiting?
-        self.interval_at = self.born = self.bell_at = math.inf
+        self.interval_at = self.born = self.next_wake = math.inf
         self.now, self.random = 0.0, random.Random(settings.seed)
         self.demand = Demand(max(settings.safety.tip_after, INTERVAL), IDLE, settings.mean or 1.0)
         self.actions: list[api.Action] = []
@@ -80,7 +80,7 @@
         for event in events:
             match event:
                 case api.Woken():
-                    self.bell_at = math.inf
+                    self.next_wake = math.inf
                 case api.NodeList():
                     self.on_list(event)
                 case api.Arrival():
@@ -95,8 +95,8 @@
         for request in [one for one in self.doubtful if not one.over and not one.out]:
             self.keep_or_give_up(request)
         self.doubtful = []
-        if (due := self.agenda.next_at()) < self.bell_at:  # for nothing else: an idle host sleeps
-            self.bell_at = due
+        if (due := self.agenda.next_at()) < self.next_wake:  # for nothing else: an idle host sleeps
+            self.next_wake = due
             self.actions.append(api.Wake(due - self.now, 0))
         return self.actions
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -296,8 +296,8 @@
 
         async def attempt(node: int) -> Ending[bytes]:
             call = self.core.calls["t"]
-            assert call.out
-            call.out.reschedule(0.0)  # the timer fires; before this task hears of it, the policy speaks
+            assert call.attempt_timer
+            call.attempt_timer.reschedule(0.0)  # it fires; the policy speaks before this task hears of it
             asyncio.get_running_loop().call_soon(self.core.step)
             await asyncio.sleep(60)
             raise AssertionError
@@ -309,7 +309,7 @@
                 return [api.Fail("t")]
             return [api.Send("t", 1)]
 
-        self.core.calls["other"] = mock.Mock(words=other)
+        self.core.calls["other"] = mock.Mock(actions=other)
         with mock.patch.object(self.core.policy, "step", step):
             async with asyncio.timeout(5):
                 await self.core.serve(arrival, attempt)
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -230,7 +230,7 @@
             young = [await self.raw() for _ in range(2)]
             await self.until(lambda: len(self.front.clients) == 2)
             waiting = await self.raw(self.head("t"))
-            await self.until(lambda: self.front.listener and self.front.listener.bell)  # it waits for room
+            await self.until(lambda: self.front.listener and self.front.listener.timer)  # it waits for room
         for one in self.front.silent:
             one.came = 0.0
         for place, (_, writer) in enumerate(young):
@@ -330,7 +330,7 @@
 
         def step() -> None:
             real()
-            if "t" in self.core.calls and not self.core.calls["t"].words.empty():
+            if "t" in self.core.calls and not self.core.calls["t"].actions.empty():
                 late.append(serving.cancel())
 
         with mock.patch.object(self.core, "step", step):
@@ -348,9 +348,9 @@
         real = self.boxes.dial
 
         async def late(pool: Any) -> Any:
-            line = await real(pool)
+            connection = await real(pool)
             listed(self.directory, instance("s-a", self.box.port, NodeState.DRAINING))
-            return line
+            return connection
 
         with mock.patch.object(self.boxes, "dial", late):
             outcome = (await self.boxes.attempt(1, ask("t"), lambda: 1.0)).outcome
@@ -378,9 +378,9 @@
         real = self.boxes.dial
 
         async def short(pool: Any) -> Any:
-            line = await real(pool)
-            line.abort()
-            return line
+            connection = await real(pool)
+            connection.abort()
+            return connection
 
         with mock.patch.object(self.boxes, "dial", short):
             found = await self.boxes.attempt(1, ask("t", "PUT", b"scan"), lambda: 1.0)
