Count a request that a cold node passes over once, and say when to come back

Ruled out: answers given twice, as close() passes over what is over. At fault: a request that came and was passed over in one step stood twice among the doubtful ones, and keep_or_give_up took its wait from the spare rate alone.

--- a/cleatyoke/rules.py
+++ b/cleatyoke/rules.py
@@ -92,7 +92,7 @@
         while self.agenda.next_at() <= now:
             self.look(self.agenda.take())
         self.dispatch()
-        for request in [one for one in self.doubtful if not one.over and not one.out]:
+        for request in dict.fromkeys(one for one in self.doubtful if not one.over and not one.out):
             self.keep_or_give_up(request)
         self.doubtful = []
         if (due := self.agenda.next_at()) < self.next_wake:  # for nothing else: an idle host sleeps
@@ -526,8 +526,8 @@
         if node:
             late_at -= self.answer_time(request, node)
             ready_at = max(node.hold_until, self.spare_at(request, node))
-            passed_over = not request.borne.get((node.id, node.up_since), True)
-            hopeless = passed_over or ready_at >= request.deadline or not self.within_group(request, node)
+            ready_at = ready_at if request.borne.get((node.id, node.up_since), True) else math.inf
+            hopeless = ready_at >= request.deadline or not self.within_group(request, node)
         late_at = min(late_at, request.deadline - MARGIN)
         if late_at <= self.now or hopeless:
             busy = self.queue_time(node) if node and sum(node.out) >= int(node.depth) else 0.0
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -147,3 +147,10 @@
                     host.end(name, api.Outcome.SERVED, node=COLD, spent=0.1)
             host.now += 0.1
     assert sent[1] > 3 * sent[2]
+
+
+def test_a_request_that_is_passed_over_is_given_up_once_and_at_once() -> None:
+    host = Host(settings(cold_units=1e-9, retry_after=0.5), [entry(1, 1, up_since=99.9)])
+    assert host.ask("a") == [api.Refuse("a", 0.5)]
+    figures = host.policy.figures()
+    assert (figures["given_up_cold_due"], figures["held"]) == (1, 0)
