--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import re
 import resource
 import signal
 import tempfile
+from pathlib import Path
 from typing import Any
 
 import aiohttp
@@ -29,6 +31,7 @@
 class Process(DaemonCase):
     async def begin(self, **changes: Any) -> None:
         folder = self.enterContext(tempfile.TemporaryDirectory())
+        self.path = Path(folder) / "config.json"
         self.daemon = await self.start(folder, **changes)
         self.addAsyncCleanup(self.finish)
         (port,) = re.findall(rb"port=(\d+)\)", await self.line(self.daemon, b"event='ready'"))
@@ -72,6 +75,30 @@
             self.assertIn(await asking, (502, 503))
             self.assertEqual(await self.daemon.wait(), 0)
 
+    async def test_a_bad_file_at_sighup_changes_nothing_and_is_logged_in_a_line(self) -> None:
+        box = await self.box(prompt)
+        whole = {"generation": 1, "reset": True, "instances": [entry("SERVING", box.port)]}
+        agent = await DiscoveryAgent(whole, []).start()
+        self.addCleanup(agent.stop)
+        await self.begin(discovery=f"127.0.0.1:{agent.port}")
+        await self.served("before")
+        good = json.loads(self.path.read_text())
+        lanes = [{**FACTS["Lanes"][0], "AimS": 0}]
+        for text in (
+            "{", "[]", "[" * 200_000, json.dumps({**good, "settings": {**FACTS, "Lanes": lanes}}),
+            json.dumps({**good, "discovery": "127.0.0.1:" + "9" * 5000}), "\x00",
+        ):  # fmt: skip
+            self.path.write_text(text)
+            self.daemon.send_signal(signal.SIGHUP)
+            self.assertIn(b"event='reload_failed'", await self.line(self.daemon, b"event='reload"))
+        self.path.unlink()
+        self.daemon.send_signal(signal.SIGHUP)
+        self.assertIn(b"event='reload_failed'", await self.line(self.daemon, b"event='reload"))
+        await self.served("after")
+        self.daemon.send_signal(signal.SIGTERM)
+        _, rest = await asyncio.wait_for(self.daemon.communicate(), 10)
+        self.assertNotIn(b"Traceback", rest)
+
     async def test_it_is_ready_soon_though_discovery_is_silent(self) -> None:
         quiet = await asyncio.start_server(lambda reader, writer: asyncio.sleep(60), "127.0.0.1", 0)
         self.addCleanup(quiet.close)
