--- a/cleatyoke/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""cleatyoke: the decisions of a gateway that orders and paces the I/O of many volumes."""
--- a/cleatyoke/middleware.py
+++ b/storage_gateway/aiohttp_middleware.py
@@ -11,9 +11,9 @@
 from aiohttp import web
 from aiohttp.typedefs import Handler, Middleware
 
-from cleatyoke import api
-from cleatyoke.api import Outcome
-from cleatyoke.core import Core, Ending, Refused, Served
+from storage_gateway import policy_api as api
+from storage_gateway.lifecycle import Core, Ending, Refused, Served
+from storage_gateway.policy_api import Outcome
 
 NODE = web.RequestKey("node", int)
 
--- /dev/null
+++ b/storage_gateway/config/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration: read once, checked, and handed on as typed values."""
--- a/cleatyoke/config.py
+++ b/storage_gateway/config/reader.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 from typing import Any
 
-from cleatyoke import api
+from storage_gateway import policy_api as api
 
 REPEATS = {"repeatable": api.Repeat.FREE, "by_key": api.Repeat.KEYED, "once": api.Repeat.ONCE}
 MOST_WRITE = 64 * 1024  # bytes of a body, and so of an upload, unless the fronts file says less
@@ -19,7 +19,7 @@
 MOST_NUMBER = 1e12  # figures of the settings are seconds, units, worths and rates
 SPARE_SOCKETS = 56  # listeners, log, discovery twice, files read, connections whose end is still on its way
 MOST_SESSIONS = 32
-FRONTS = Path(__file__).resolve().parent.parent / "deploy" / "fronts.toml"
+FRONTS = Path(__file__).resolve().parents[2] / "deploy" / "fronts.toml"
 
 
 class BadConfig(ValueError):
--- /dev/null
+++ b/storage_gateway/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""The endpoint registry and the watch that keeps it up to date."""
--- a/cleatyoke/directory.py
+++ b/storage_gateway/endpoints/registry.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass
 from itertools import count
 
-from cleatyoke import api
-from cleatyoke.config import Address
+from storage_gateway import policy_api as api
+from storage_gateway.config.reader import Address
 
 MOST_GONE = 1024  # boxes that went and whose numbers are kept, as they may return or a call may name them
 
--- a/cleatyoke/net/discovery.py
+++ b/storage_gateway/endpoints/watch.py
@@ -11,10 +11,10 @@
 import aiohttp
 import structlog
 
-from cleatyoke import api
-from cleatyoke.config import Address
-from cleatyoke.directory import Directory, Listing
-from cleatyoke.net.messages import BadMessage, decode_listing
+from storage_gateway import policy_api as api
+from storage_gateway.config.reader import Address
+from storage_gateway.endpoints.registry import Directory, Listing
+from storage_gateway.http.messages import BadMessage, decode_listing
 
 WINDOW = 6.0  # seconds after which a change counts as told, once discovery had it and could be reached
 SILENCE = 3.0  # seconds since the last whole line, where an empty one comes every two: the watch is dead
--- a/cleatyoke/net/messages.py
+++ b/storage_gateway/http/messages.py
@@ -16,9 +16,9 @@
 from aiohttp.http_exceptions import HttpProcessingError
 from multidict import CIMultiDictProxy
 
-from cleatyoke import api
-from cleatyoke.config import Address, BadConfig, Config, finite, read_address
-from cleatyoke.directory import Instance, Listing
+from storage_gateway import policy_api as api
+from storage_gateway.config.reader import Address, BadConfig, Config, finite, read_address
+from storage_gateway.endpoints.registry import Instance, Listing
 
 MOST_BODY = 64 * 1024  # of a request
 MOST_ANSWER = 1024 * 1024  # bytes of the body of a box's answer; boxes send more than a request may hold
--- a/cleatyoke/net/boxes.py
+++ b/storage_gateway/http/node_client.py
@@ -13,11 +13,9 @@
 from collections.abc import Callable
 from functools import partial
 
-from cleatyoke.api import Outcome
-from cleatyoke.config import Address
-from cleatyoke.core import Ending
-from cleatyoke.directory import Directory
-from cleatyoke.net.messages import (
+from storage_gateway.config.reader import Address
+from storage_gateway.endpoints.registry import Directory
+from storage_gateway.http.messages import (
     Answer,
     AnswerReader,
     Ask,
@@ -26,7 +24,9 @@
     decode_outcome,
     encode_attempt,
 )  # fmt: skip
-from cleatyoke.net.sockets import unread
+from storage_gateway.http.sockets import unread
+from storage_gateway.lifecycle import Ending
+from storage_gateway.policy_api import Outcome
 
 IDLE_SHARE = 0.5  # of the boxes' idle limit, after which a pooled connection is dropped
 REST = 0.02  # seconds that a connection rests after an answer, so that what comes behind that is noticed
--- a/cleatyoke/net/server.py
+++ b/storage_gateway/http/server.py
@@ -14,12 +14,12 @@
 from aiohttp.http import RawRequestMessage
 from aiohttp.web_protocol import RequestHandler
 
-from cleatyoke import api
-from cleatyoke.config import Address, Config
-from cleatyoke.core import Core, Ending, Failed, Refused, Served
-from cleatyoke.net.boxes import Boxes
-from cleatyoke.net.messages import MOST_BODY, Ask, BadMessage, decode_ask
-from cleatyoke.net.sockets import GracefulTransport, Listener, gone, unread
+from storage_gateway import policy_api as api
+from storage_gateway.config.reader import Address, Config
+from storage_gateway.http.messages import MOST_BODY, Ask, BadMessage, decode_ask
+from storage_gateway.http.node_client import Boxes
+from storage_gateway.http.sockets import GracefulTransport, Listener, gone, unread
+from storage_gateway.lifecycle import Core, Ending, Failed, Refused, Served
 
 IDLE = 2.1  # seconds that a client's connection may stand without a request
 HEAD = 0.6  # seconds for the rest of a head whose first byte has come, where IDLE ends amid it
--- a/cleatyoke/core.py
+++ b/storage_gateway/lifecycle.py
@@ -15,8 +15,8 @@
 
 import structlog
 
-from cleatyoke import api
-from cleatyoke.rules import NEVER_RAN, Policy
+from storage_gateway import policy_api as api
+from storage_gateway.policy.policy import NEVER_RAN, Policy
 
 T = TypeVar("T")
 ATTEMPT_MARGIN = 0.04  # an attempt ends this long before the client's deadline, so that the answer beats it
--- /dev/null
+++ b/storage_gateway/policy/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions: events in, actions out, no clock and no socket."""
--- a/cleatyoke/rules.py
+++ b/storage_gateway/policy/policy.py
@@ -11,9 +11,9 @@
 from collections import Counter, defaultdict, deque
 from heapq import heapify, heappop, heapreplace
 
-from cleatyoke import api
-from cleatyoke.api import Ended, ListKind, NodeState, Outcome, Repeat, Scope
-from cleatyoke.state import Agenda, Demand, Node, Request, Store, Volume, forget_before
+from storage_gateway import policy_api as api
+from storage_gateway.policy_api import Ended, ListKind, NodeState, Outcome, Repeat, Scope
+from storage_gateway.policy_state.records import Agenda, Demand, Node, Request, Store, Volume, forget_before
 
 INTERVAL = 1.0  # seconds between control rounds; the paper's two seconds trail a surge
 FIT = 5  # intervals in a slope fit: the design's
--- /dev/null
+++ b/storage_gateway/policy_state/__init__.py
@@ -0,0 +1,1 @@
+"""Records and estimators of the policy; nothing here decides."""
--- a/cleatyoke/state.py
+++ b/storage_gateway/policy_state/records.py
@@ -6,7 +6,7 @@
 from collections import defaultdict, deque
 from heapq import heappop, heappush
 
-from cleatyoke import api
+from storage_gateway import policy_api as api
 
 
 class Request:
--- a/cleatyoke/__main__.py
+++ b/storage_gateway/service.py
@@ -11,17 +11,17 @@
 
 import structlog
 
-from cleatyoke import api
-from cleatyoke.config import BadConfig, Config, read_config
-from cleatyoke.core import Core
-from cleatyoke.directory import Directory
-from cleatyoke.net.boxes import Boxes
-from cleatyoke.net.discovery import Discovery
-from cleatyoke.net.messages import BadMessage, read_listing
-from cleatyoke.net.server import DRAIN, Front
-from cleatyoke.sftp.boxes import FileBoxes
-from cleatyoke.sftp.front import FileFront
-from cleatyoke.vrrp import Carrier
+from storage_gateway import policy_api as api
+from storage_gateway.config.reader import BadConfig, Config, read_config
+from storage_gateway.endpoints.registry import Directory
+from storage_gateway.endpoints.watch import Discovery
+from storage_gateway.http.messages import BadMessage, read_listing
+from storage_gateway.http.node_client import Boxes
+from storage_gateway.http.server import DRAIN, Front
+from storage_gateway.lifecycle import Core
+from storage_gateway.sftp.node_client import FileBoxes
+from storage_gateway.sftp.server import FileFront
+from storage_gateway.vrrp.transport import Carrier
 
 FIRST_LIST = 1.0  # seconds for discovery's first word, after which the old list has to do
 LEAST_ACCEPTING = 0.75  # seconds after SIGTERM in which everything is accepted at the least
@@ -165,10 +165,7 @@
     try:
         asyncio.run(run(read_config(os.environ)))
     except BadConfig as error:
-        print(f"cleatyoke: {error}", file=sys.stderr)
+        print(f"storage_gateway: {error}", file=sys.stderr)
         return 2
     return 0
 
-
-if __name__ == "__main__":
-    sys.exit(main())
--- a/cleatyoke/sftp/boxes.py
+++ b/storage_gateway/sftp/node_client.py
@@ -6,10 +6,10 @@
 from collections import defaultdict
 from dataclasses import dataclass, replace
 
-from cleatyoke.api import Outcome
-from cleatyoke.core import Ending
-from cleatyoke.directory import Directory
-from cleatyoke.sftp.packets import (
+from storage_gateway.endpoints.registry import Directory
+from storage_gateway.lifecycle import Ending
+from storage_gateway.policy_api import Outcome
+from storage_gateway.sftp.packets import (
     VERSION,
     Attrs,
     BadPacket,
--- a/cleatyoke/sftp/front.py
+++ b/storage_gateway/sftp/server.py
@@ -10,11 +10,11 @@
 
 import structlog
 
-from cleatyoke import api
-from cleatyoke.config import SftpFront, VolumePath
-from cleatyoke.core import Core, Refused, Served
-from cleatyoke.sftp.boxes import Command, FileBoxes, List, ReadRange, Simple, Upload, changes
-from cleatyoke.sftp.packets import (
+from storage_gateway import policy_api as api
+from storage_gateway.config.reader import SftpFront, VolumePath
+from storage_gateway.lifecycle import Core, Refused, Served
+from storage_gateway.sftp.node_client import Command, FileBoxes, List, ReadRange, Simple, Upload, changes
+from storage_gateway.sftp.packets import (
     VERSION,
     Attrs,
     AttrsReply,
--- a/cleatyoke/simhost.py
+++ b/storage_gateway/simulator_adapter.py
@@ -6,9 +6,9 @@
 import sys
 from typing import Any, TextIO
 
-from cleatyoke import api
-from cleatyoke.config import read_settings
-from cleatyoke.rules import Policy
+from storage_gateway import policy_api as api
+from storage_gateway.config.reader import read_settings
+from storage_gateway.policy.policy import Policy
 
 OUTCOMES = {
     "completed": api.Outcome.SERVED,
--- a/cleatyoke/vrrp.py
+++ b/storage_gateway/vrrp/transport.py
@@ -15,7 +15,7 @@
 
 import structlog
 
-from cleatyoke.config import Address, VrrpPeers
+from storage_gateway.config.reader import Address, VrrpPeers
 
 log = structlog.get_logger()
 
--- a/tests/test_settings.py
+++ b/tests/config/test_settings.py
@@ -10,10 +10,10 @@
 
 import pytest
 
-from cleatyoke.config import BadConfig, read_config
-from cleatyoke.net.messages import BadMessage, decode_listing
-from cleatyoke.rules import Policy
-from tests.wire import FACTS
+from storage_gateway.config.reader import BadConfig, read_config
+from storage_gateway.http.messages import BadMessage, decode_listing
+from storage_gateway.policy.policy import Policy
+from tests.support.peers import FACTS
 
 ABSENT = object()
 
--- a/tests/test_discovery.py
+++ b/tests/endpoints/test_watch.py
@@ -7,11 +7,11 @@
 from typing import Any
 from unittest import mock
 
-from cleatyoke import api
-from cleatyoke.config import Address
-from cleatyoke.directory import Directory
-from cleatyoke.net import discovery as module
-from cleatyoke.net.discovery import (
+from storage_gateway import policy_api as api
+from storage_gateway.config.reader import Address
+from storage_gateway.endpoints import watch as module
+from storage_gateway.endpoints.registry import Directory
+from storage_gateway.endpoints.watch import (
     CALL,
     CALL_ALONE,
     MOST_ALONE,
@@ -23,7 +23,7 @@
     Discovery,
     spread,
 )
-from tests.wire import DiscoveryAgent, Peer, answer, instance, listed
+from tests.support.peers import DiscoveryAgent, Peer, answer, instance, listed
 
 NOWHERE = Address("127.0.0.1", 1)
 
--- a/tests/test_crossings.py
+++ b/tests/http/test_races.py
@@ -10,11 +10,11 @@
 
 from aiohttp import web
 
-from cleatyoke import api
-from cleatyoke.core import ATTEMPT_MARGIN, Ending
-from cleatyoke.net.sockets import gone
-from tests.test_http_front import FrontCase
-from tests.wire import answer
+from storage_gateway import policy_api as api
+from storage_gateway.http.sockets import gone
+from storage_gateway.lifecycle import ATTEMPT_MARGIN, Ending
+from tests.http.test_server import FrontCase
+from tests.support.peers import answer
 
 FIELDS = {
     "Host": "h",
--- a/tests/test_http_front.py
+++ b/tests/http/test_server.py
@@ -16,22 +16,22 @@
 
 import aiohttp
 
-from cleatyoke import api
-from cleatyoke import directory as directory_module
-from cleatyoke.api import NodeState, Outcome
-from cleatyoke.config import Address, BadConfig, read_config, read_fronts
-from cleatyoke.core import Core, Ending
-from cleatyoke.directory import Directory
-from cleatyoke.net import boxes as boxes_module
-from cleatyoke.net import server as server_module
-from cleatyoke.net.boxes import Boxes
-from cleatyoke.net.discovery import Discovery
-from cleatyoke.net.messages import Ask
-from cleatyoke.net.server import Front
-from cleatyoke.rules import Policy
-from tests.wire import FACTS, DiscoveryAgent, HttpBox, answer, config, instance, listed
-
-ROOT = Path(__file__).resolve().parent.parent
+from storage_gateway import policy_api as api
+from storage_gateway.config.reader import Address, BadConfig, read_config, read_fronts
+from storage_gateway.endpoints import registry as directory_module
+from storage_gateway.endpoints.registry import Directory
+from storage_gateway.endpoints.watch import Discovery
+from storage_gateway.http import node_client as boxes_module
+from storage_gateway.http import server as server_module
+from storage_gateway.http.messages import Ask
+from storage_gateway.http.node_client import Boxes
+from storage_gateway.http.server import Front
+from storage_gateway.lifecycle import Core, Ending
+from storage_gateway.policy.policy import Policy
+from storage_gateway.policy_api import NodeState, Outcome
+from tests.support.peers import FACTS, DiscoveryAgent, HttpBox, answer, config, instance, listed
+from tests.support.project import ROOT
+
 HEADERS = {
     "X-Qos": "tile-read",
     "X-Plan": "public",
@@ -555,7 +555,7 @@
         path.write_text(json.dumps(values))
         kept = {name: value for name, value in os.environ.items() if not name.startswith("RELAY_")}
         return await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "cleatyoke", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
+            sys.executable, "-m", "storage_gateway", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
             env={**kept, **(variables or {}), "RELAY_CONFIG": str(path)},
         )  # fmt: skip
 
@@ -657,7 +657,7 @@
             daemon = await self.start(folder, listen="nowhere")
             _, errors = await daemon.communicate()
         self.assertEqual((daemon.returncode, errors.count(b"\n")), (2, 1))
-        self.assertTrue(errors.startswith(b"cleatyoke: listen: "), errors)
+        self.assertTrue(errors.startswith(b"storage_gateway: listen: "), errors)
 
 
 class ConfigCase(unittest.TestCase):
--- a/tests/test_layers.py
+++ b/tests/policy/test_concurrency.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from cleatyoke import api
-from cleatyoke.rules import arbitrate, fit
-from tests.host import Host, class_spec, entry, plan_spec, settings
+from storage_gateway import policy_api as api
+from storage_gateway.policy.policy import arbitrate, fit
+from tests.support.policy import Host, class_spec, entry, plan_spec, settings
 
 
 def total(host: Host) -> float:
--- a/tests/test_cost.py
+++ b/tests/policy/test_cost.py
@@ -2,10 +2,10 @@
 
 import pytest
 
-from cleatyoke import api
-from cleatyoke.api import Outcome
-from cleatyoke.rules import LOST, MARGIN, Policy
-from tests.host import Host, entry, settings
+from storage_gateway import policy_api as api
+from storage_gateway.policy.policy import LOST, MARGIN, Policy
+from storage_gateway.policy_api import Outcome
+from tests.support.policy import Host, entry, settings
 
 
 def wakes(actions: list[api.Action]) -> list[api.Wake]:
--- a/tests/test_odd_input.py
+++ b/tests/policy/test_odd_input.py
@@ -4,10 +4,10 @@
 
 import pytest
 
-from cleatyoke import api
-from cleatyoke.api import Outcome
-from cleatyoke.simhost import read_entry, read_settings
-from tests.host import Host, class_spec, entry, plan_spec, settings
+from storage_gateway import policy_api as api
+from storage_gateway.policy_api import Outcome
+from storage_gateway.simulator_adapter import read_entry, read_settings
+from tests.support.policy import Host, class_spec, entry, plan_spec, settings
 
 
 @pytest.mark.parametrize("hosts", [0, 1])
--- a/tests/test_random.py
+++ b/tests/policy/test_random_events.py
@@ -9,10 +9,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cleatyoke import api
-from cleatyoke.api import NodeState, Outcome, Repeat, Scope
-from tests.host import Host, class_spec, entry, plan_spec
-from tests.host import settings as host_settings
+from storage_gateway import policy_api as api
+from storage_gateway.policy_api import NodeState, Outcome, Repeat, Scope
+from tests.support.policy import Host, class_spec, entry, plan_spec
+from tests.support.policy import settings as host_settings
 
 CLASSES = [
     class_spec(aim=0.3),
--- a/tests/test_guards.py
+++ b/tests/policy/test_rules.py
@@ -4,10 +4,10 @@
 
 import pytest
 
-from cleatyoke import api
-from cleatyoke.api import Outcome, Repeat, Scope
-from cleatyoke.rules import BORNE, LOST
-from tests.host import Host, class_spec, entry, plan_spec, settings
+from storage_gateway import policy_api as api
+from storage_gateway.policy.policy import BORNE, LOST
+from storage_gateway.policy_api import Outcome, Repeat, Scope
+from tests.support.policy import Host, class_spec, entry, plan_spec, settings
 
 ONCE = class_spec(repeat=Repeat.ONCE)
 ORDERED = class_spec(ordered=True)
--- a/tests/test_cold_fleet.py
+++ b/tests/policy/test_slow_start.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from cleatyoke import api
-from tests.host import Host, class_spec, entry, plan_spec, settings
+from storage_gateway import policy_api as api
+from tests.support.policy import Host, class_spec, entry, plan_spec, settings
 
 START, UNITS, COLD_FROM, RAMP, MULTIPLE, WINDOW = 200.0, 2.0, 0.15, 17.0, 2.0, 1.0
 COLD = 99  # the cell and the node that start anew
--- a/tests/test_deploy.py
+++ b/tests/project/test_deploy.py
@@ -5,7 +5,8 @@
 import tomllib
 from pathlib import Path
 
-ROOT = Path(__file__).resolve().parent.parent
+from tests.support.project import ROOT
+
 DEPLOY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
 STUB = "#!/bin/sh\necho $$\n"
 MAKES = r"""#!/bin/sh
--- a/tests/test_known_red.py
+++ b/tests/project/test_known_red.py
@@ -8,6 +8,8 @@
 
 import pytest
 
+from tests.support.project import ROOT
+
 TESTS = "def test_red():\n    assert False\n\ndef test_green():\n    pass\n"
 
 
@@ -23,7 +25,7 @@
 )
 def test_the_list_is_strict(tmp_path: Path, listed: str, code: int, said: str) -> None:
     (tmp_path / "test_it.py").write_text(TESTS)
-    (tmp_path / "conftest.py").write_text((Path(__file__).parent / "conftest.py").read_text())
+    (tmp_path / "conftest.py").write_text((ROOT / "tests" / "conftest.py").read_text())
     (tmp_path / "KNOWN-RED.txt").write_text(listed)
     result = subprocess.run(
         [sys.executable, "-m", "pytest", "-p", "no:cacheprovider", "--rootdir", str(tmp_path), str(tmp_path)],
--- a/tests/test_readme.py
+++ b/tests/project/test_readme.py
@@ -3,9 +3,10 @@
 import contextlib
 import io
 import re
-from pathlib import Path
 
-README = Path(__file__).resolve().parent.parent / "README.md"
+from tests.support.project import ROOT
+
+README = ROOT / "README.md"
 
 
 def test_readme_example_sends_its_request() -> None:
--- a/tests/test_style.py
+++ b/tests/project/test_style.py
@@ -2,9 +2,9 @@
 
 import subprocess
 import sys
-from pathlib import Path
+import tomllib
 
-ROOT = Path(__file__).resolve().parent.parent
+from tests.support.project import ROOT
 
 
 def run(*command: str) -> None:
@@ -21,6 +21,8 @@
 
 
 def test_module_stays_small() -> None:
-    lines = (ROOT / "cleatyoke" / "rules.py").read_text().splitlines()
+    files = [ROOT / path for path in tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["policy"]]
+    assert set(files) == set((ROOT / "storage_gateway" / "policy").glob("*.py"))
+    lines = [line for file in files for line in file.read_text().splitlines()]
     assert sum(1 for line in lines if line.strip()) <= 560
     assert max(len(line) for line in lines) <= 110
--- a/tests/test_daemon.py
+++ b/tests/service/test_process.py
@@ -13,8 +13,8 @@
 
 import aiohttp
 
-from tests.test_http_front import HEADERS, TARGET, DaemonCase, entry
-from tests.wire import FACTS, DiscoveryAgent, HttpBox, answer
+from tests.http.test_server import HEADERS, TARGET, DaemonCase, entry
+from tests.support.peers import FACTS, DiscoveryAgent, HttpBox, answer
 
 SOCKETS = 112  # the least that the settings may allow
 
--- a/tests/test_leaving.py
+++ b/tests/service/test_service.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from cleatyoke.__main__ import LEAST_ACCEPTING, accepting_time
+from storage_gateway.service import LEAST_ACCEPTING, accepting_time
 
 
 def test_a_leaving_front_takes_requests_while_the_quickest_class_can_be_served() -> None:
--- a/tests/test_sftp_front.py
+++ b/tests/sftp/test_server.py
@@ -7,16 +7,16 @@
 from dataclasses import replace
 from typing import Any
 
-from cleatyoke import api
-from cleatyoke.api import NodeState
-from cleatyoke.config import Address, SftpFront, VolumePath
-from cleatyoke.core import Core
-from cleatyoke.directory import Directory
-from cleatyoke.sftp import packets as p
-from cleatyoke.sftp.boxes import FileBoxes
-from cleatyoke.sftp.front import FileFront
-from tests.host import plan_spec
-from tests.wire import FileBox, instance, listed, two_classes
+from storage_gateway import policy_api as api
+from storage_gateway.config.reader import Address, SftpFront, VolumePath
+from storage_gateway.endpoints.registry import Directory
+from storage_gateway.lifecycle import Core
+from storage_gateway.policy_api import NodeState
+from storage_gateway.sftp import packets as p
+from storage_gateway.sftp.node_client import FileBoxes
+from storage_gateway.sftp.server import FileFront
+from tests.support.peers import FileBox, instance, listed, two_classes
+from tests.support.policy import plan_spec
 
 NONE = p.Attrs()
 STORE = p.Flags.WRITE | p.Flags.CREAT | p.Flags.TRUNC
--- a/tests/wire.py
+++ b/tests/support/peers.py
@@ -9,11 +9,11 @@
 from dataclasses import replace
 from typing import Any
 
-from cleatyoke import api
-from cleatyoke.config import Address, Config, Shares
-from cleatyoke.directory import Directory, Instance, Listing
-from cleatyoke.sftp import packets as p
-from tests.host import class_spec, plan_spec, settings
+from storage_gateway import policy_api as api
+from storage_gateway.config.reader import Address, Config, Shares
+from storage_gateway.endpoints.registry import Directory, Instance, Listing
+from storage_gateway.sftp import packets as p
+from tests.support.policy import class_spec, plan_spec, settings
 
 FACTS: dict[str, Any] = {
     "Areas": ["basement"],
--- a/tests/host.py
+++ b/tests/support/policy.py
@@ -5,8 +5,8 @@
 from dataclasses import replace
 from typing import Any
 
-from cleatyoke import api
-from cleatyoke.rules import Policy
+from storage_gateway import policy_api as api
+from storage_gateway.policy.policy import Policy
 
 
 def class_spec(**changes: Any) -> api.ClassSpec:
--- a/tests/test_middleware.py
+++ b/tests/test_aiohttp_middleware.py
@@ -7,12 +7,12 @@
 from aiohttp import web
 from aiohttp.test_utils import TestClient, TestServer
 
-from cleatyoke import api
-from cleatyoke.core import Core
-from cleatyoke.directory import Directory
-from cleatyoke.middleware import NODE, NeverRan, scheduled
-from tests.host import plan_spec
-from tests.wire import instance, listed, two_classes
+from storage_gateway import policy_api as api
+from storage_gateway.aiohttp_middleware import NODE, NeverRan, scheduled
+from storage_gateway.endpoints.registry import Directory
+from storage_gateway.lifecycle import Core
+from tests.support.peers import instance, listed, two_classes
+from tests.support.policy import plan_spec
 
 
 class MiddlewareCase(unittest.IsolatedAsyncioTestCase):
--- a/tests/test_report.py
+++ b/tests/test_lifecycle.py
@@ -5,10 +5,10 @@
 from typing import Any
 from unittest import mock
 
-from cleatyoke import api
-from cleatyoke import core as core_module
-from cleatyoke.core import Core
-from tests.host import Host, entry, plan_spec, settings
+from storage_gateway import lifecycle as core_module
+from storage_gateway import policy_api as api
+from storage_gateway.lifecycle import Core
+from tests.support.policy import Host, entry, plan_spec, settings
 
 
 def test_the_policy_counts_what_it_did_and_why() -> None:
--- a/tests/test_simhost.py
+++ b/tests/test_simulator_adapter.py
@@ -6,14 +6,13 @@
 import json
 import subprocess
 import sys
-from pathlib import Path
 from typing import Any
 
 import pytest
 
-from cleatyoke import simhost
+from storage_gateway import simulator_adapter as simhost
+from tests.support.project import ROOT
 
-ROOT = Path(__file__).resolve().parent.parent
 FACTS: dict[str, Any] = {
     "Contracts": [
         {
@@ -137,7 +136,7 @@
     ["tea", "[]", '{"TsS":1}', '{"TsS":1,"round":1,"news":[{"type":"TEA","Head":0}]}', '{"TsS":1,"round":1,'],
 )
 def test_malformed_line_ends_with_one_plain_message(line: str) -> None:
-    command = [sys.executable, "-B", "-m", "cleatyoke.simhost"]
+    command = [sys.executable, "-B", "-m", "storage_gateway.simulator_adapter"]
     result = subprocess.run(command, cwd=ROOT, input=line + "\n", capture_output=True, text=True)
     assert result.returncode == 2
     assert result.stdout == ""
--- a/tests/test_vrrp.py
+++ b/tests/vrrp/test_vrrp.py
@@ -5,8 +5,16 @@
 import asyncio
 import unittest
 
-from cleatyoke.config import Address, VrrpPeers
-from cleatyoke.vrrp import Advertisement, BadAdvertisement, Carrier, Router, State, decode, encode
+from storage_gateway.config.reader import Address, VrrpPeers
+from storage_gateway.vrrp.transport import (
+    Advertisement,
+    BadAdvertisement,
+    Carrier,
+    Router,
+    State,
+    decode,
+    encode,
+)
 
 
 def said(priority: int, interval: float = 1.0) -> Advertisement:
