--- a/storage_gateway/aiohttp_middleware.py
+++ b/storage_gateway/aiohttp_middleware.py
@@ -12,18 +12,15 @@
 from aiohttp.typedefs import Handler, Middleware
 
 from storage_gateway import policy_api as api
-from storage_gateway.lifecycle import Core, Ending, Refused, Served
-from storage_gateway.policy_api import Outcome
+from storage_gateway.errors import NotExecutedError
+from storage_gateway.lifecycle import AttemptResult, Rejected, RequestExecutor, Served
+from storage_gateway.policy_api import AttemptOutcome
 
 NODE = web.RequestKey("node", int)
 
 
-class NeverRan(Exception):
-    """Raised by a handler that is certain to have had no effect, such as one whose node turned it away."""
-
-
 def scheduled(
-    core: Core, describe: Callable[[web.Request], Awaitable[api.Arrival | None]]
+    executor: RequestExecutor, describe: Callable[[web.Request], Awaitable[api.RequestArrived | None]]
 ) -> Middleware:
     @web.middleware
     async def middleware(request: web.Request, handler: Handler) -> web.StreamResponse:
@@ -32,22 +29,24 @@
             return await handler(request)
         last: web.StreamResponse | None = None
 
-        async def attempt(node: int) -> Ending[web.StreamResponse]:
+        async def attempt(node: int) -> AttemptResult[web.StreamResponse]:
             nonlocal last
             request[NODE] = node
             try:
                 last = await handler(request)
-            except NeverRan:
-                return Ending(Outcome.FULL)
+            except NotExecutedError:
+                return AttemptResult(AttemptOutcome.REJECTED)
             except web.HTTPException as error:
                 last = error
             begun = last.prepared  # what has begun to reach the client cannot be made anew
-            return Ending(Outcome.SERVED if last.status < 500 or begun else Outcome.ERROR, last)
+            return AttemptResult(
+                AttemptOutcome.SERVED if last.status < 500 or begun else AttemptOutcome.ERROR, last
+            )
 
-        match await core.serve(ask, attempt):
+        match await executor.execute(ask, attempt):
             case Served(response) if response is not None:
                 last = response
-            case Refused(wait):
+            case Rejected(wait):
                 return web.Response(status=503, headers={"Retry-After": f"{wait:.3f}"} if wait > 0 else None)
         if isinstance(last, web.HTTPException):
             raise last
--- a/storage_gateway/config/reader.py
+++ b/storage_gateway/config/reader.py
@@ -12,8 +12,13 @@
 from typing import Any
 
 from storage_gateway import policy_api as api
+from storage_gateway.errors import ConfigurationError
 
-REPEATS = {"repeatable": api.Repeat.FREE, "by_key": api.Repeat.KEYED, "once": api.Repeat.ONCE}
+REPEATS = {
+    "repeatable": api.Repeatability.REPEATABLE,
+    "by_key": api.Repeatability.IDEMPOTENT_WITH_KEY,
+    "once": api.Repeatability.NON_IDEMPOTENT,
+}
 MOST_WRITE = 64 * 1024  # bytes of a body, and so of an upload, unless the fronts file says less
 MOST_SOCKETS = 1024
 MOST_NUMBER = 1e12  # figures of the settings are seconds, units, worths and rates
@@ -22,10 +27,6 @@
 FRONTS = Path(__file__).resolve().parents[2] / "deploy" / "fronts.toml"
 
 
-class BadConfig(ValueError):
-    """A value that cannot be used; the text begins with its key."""
-
-
 @dataclass(slots=True, frozen=True)
 class Address:
     host: str
@@ -37,28 +38,28 @@
     """Files below ``prefix`` belong to this volume."""
 
     prefix: str
-    volume: int
-    plan: int
-    cell: int
-    hosts: int
+    volume_id: int
+    plan_index: int
+    shard: int
+    gateway_count: int
 
 
 @dataclass(slots=True, frozen=True)
-class SftpFront:
+class SftpConfig:
     listen: Address
     volumes: list[VolumePath]
     read_class: int
     write_class: int
-    box_port: int  # 0: the port that discovery lists
-    most_upload: int
+    node_port: int  # 0: the port that discovery lists
+    max_upload_bytes: int
     unit_bytes: int
-    most_handles: int
-    idle: float  # seconds that a client's connection may stand without a command
-    deadline: float  # seconds for a command, as the protocol states none
+    max_handles: int
+    idle_timeout_s: float  # seconds that a client's connection may stand without a command
+    command_timeout_s: float  # seconds for a command, as the protocol states none
 
 
 @dataclass(slots=True, frozen=True)
-class VrrpPeers:
+class VrrpConfig:
     listen: Address
     peers: list[Address]
     router: int
@@ -69,59 +70,73 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Shares:
+class ConnectionBudget:
     """How the descriptors of the process are dealt out. A request in work holds a client's connection and at
-    most one to a box, so as many are kept for boxes as for clients, and no attempt wants for one."""
+    most one to a box, so as many are kept for boxes as for clients, and no attempt wants for one.
+    """
 
-    clients: int
-    crowd: int  # idle ones beyond which each ends with its answer: half of what clients open
-    boxes: int
-    sessions: int  # of the file front: a client's connection, one at work and an idle one to a box
+    client_connections: int
+    idle_client_connections: (
+        int  # idle ones beyond which each ends with its answer: half of what clients open
+    )
+    node_connections: int
+    sftp_sessions: int  # of the file front: a client's connection, one at work and an idle one to a box
 
     @classmethod
-    def of(cls, sockets: int, files: bool) -> Shares:
+    def of(cls, sockets: int, files: bool) -> ConnectionBudget:
         sessions = min(MOST_SESSIONS, (sockets - SPARE_SOCKETS) // 12) if files else 0
         half = (sockets - SPARE_SOCKETS - 3 * sessions) // 2
         return cls(half, sockets // 6, half, sessions)
 
 
 @dataclass(slots=True)
-class Config:
+class GatewayConfig:
     name: str
     listen: Address
     discovery: Address
     seed: int
-    shares: Shares
-    known: Any  # the old list in discovery's form, decoded by the platform front
+    connection_budget: ConnectionBudget
+    known_endpoints: Any  # the old list in discovery's form, decoded by the platform front
     settings: api.Settings
-    classes: dict[str, int]
-    plans: dict[str, int]
-    give_up: list[float]  # by class: seconds that its clients wait at the most; infinite: not said
-    writes: list[bool]  # by class, or empty where nothing is said
-    shards: int  # counted from 0; 0: nothing is said
-    zones: dict[str, int]
-    dial_timeout: float
-    idle_close: float
-    file_discovery: Address  # as the file has it, whatever RELAY_DISCOVERY says
-    sftp: SftpFront | None = None
-    vrrp: VrrpPeers | None = None
+    class_indexes: dict[str, int]
+    plan_indexes: dict[str, int]
+    client_timeouts_s: list[float]  # by class: seconds that its clients wait at the most; infinite: not said
+    class_is_write: list[bool]  # by class, or empty where nothing is said
+    shard_count: int  # counted from 0; 0: nothing is said
+    zone_indexes: dict[str, int]
+    connect_timeout_s: float
+    idle_close_s: float
+    configured_discovery: Address  # as the file has it, whatever RELAY_DISCOVERY says
+    sftp: SftpConfig | None = None
+    vrrp: VrrpConfig | None = None
 
     def notice(self) -> float:
         """Seconds from SIGTERM to SIGKILL: the longest deadline, 3 s at the most, and 0.7 s more."""
-        return min(3.0, max(self.give_up)) + 0.7
+        return min(3.0, max(self.client_timeouts_s)) + 0.7
 
-    def reload(self, new: Config) -> tuple[bool, list[str]]:
+    def reload(self, new: GatewayConfig) -> tuple[bool, list[str]]:
         """Take what a reload takes: the address of discovery, where the file names a new one. It wins
         over RELAY_DISCOVERY, as a running process cannot be given another. Returns whether it moved, and the
-        changed keys that wait for the next start; ``known`` and ``seed`` count at a start only."""
+        changed keys that wait for the next start; ``known`` and ``seed`` count at a start only.
+        """
         new.settings.seed = self.settings.seed
-        kept = ("name", "listen", "shares", "settings", "classes", "plans", "dial_timeout", "idle_close",
-                "sftp", "vrrp")  # fmt: skip
+        kept = (
+            "name",
+            "listen",
+            "connection_budget",
+            "settings",
+            "class_indexes",
+            "plan_indexes",
+            "connect_timeout_s",
+            "idle_close_s",
+            "sftp",
+            "vrrp",
+        )
         waiting = [key for key in kept if getattr(self, key) != getattr(new, key)]
-        moved = new.file_discovery != self.file_discovery
-        self.file_discovery = new.file_discovery
+        moved = new.configured_discovery != self.configured_discovery
+        self.configured_discovery = new.configured_discovery
         if moved:
-            self.discovery = new.file_discovery
+            self.discovery = new.configured_discovery
         return moved, waiting
 
 
@@ -133,8 +148,8 @@
     path: str
     used: set[str] = field(default_factory=set)
 
-    def fail(self, key: str, why: str) -> BadConfig:
-        return BadConfig(f"{self.path}{key}: {why}")
+    def fail(self, key: str, why: str) -> ConfigurationError:
+        return ConfigurationError(f"{self.path}{key}", why)
 
     def get(self, key: str, default: Any = None) -> Any:
         self.used.add(key)
@@ -209,7 +224,7 @@
 def read_address(text: str, key: str) -> Address:
     host, colon, port = text.rpartition(":")
     if not colon or not host or not re.fullmatch("[0-9]{1,5}", port) or int(port) > 65535:
-        raise BadConfig(f"{key}: want HOST:PORT, found {text!r}")
+        raise ConfigurationError(key, f"want HOST:PORT, found {text!r}")
     return Address(host.strip("[]"), int(port))
 
 
@@ -218,32 +233,34 @@
     root = Table(facts, "settings.")
     safety, limits, extra = root.table("Safety", {}), root.table("PolicyLimits"), root.table("Extra", {})
     classes = [
-        api.ClassSpec(
-            aim=lane.number("AimS", above=0.0),
-            worth=lane.number("Worth"),
-            late_share=lane.number("LateShare", 0.0),
-            repeat=lane.one_of("Repeat", REPEATS),
-            scope=lane.one_of("DedupScope", {scope.value: scope for scope in api.Scope}, "all"),
-            memory=lane.number("MemorySpanS", 0.0),
-            ordered=lane.flag("ByArrival"),
+        api.RequestClass(
+            latency_objective_s=lane.number("AimS", above=0.0),
+            priority_weight=lane.number("Worth"),
+            late_value=lane.number("LateShare", 0.0),
+            repeatability=lane.one_of("Repeat", REPEATS),
+            idempotency_scope=lane.one_of(
+                "DedupScope", {scope.value: scope for scope in api.IdempotencyScope}, "all"
+            ),
+            idempotency_window_s=lane.number("MemorySpanS", 0.0),
+            ordered_by_key=lane.flag("ByArrival"),
         )
         for lane in root.tables("Lanes")
     ]
     plans = [
-        api.PlanSpec(
-            worth=plan.number("WorthFactor"),
-            rate=plan.number("BaseRate", 0.0),
-            reserve=plan.number("FloorRate", 0.0),
-            weight=plan.number("Proportion"),
-            limit=plan.number("Limit", 0.0),
-            limit_burst=plan.number("LimitBurst", 0.0),
+        api.Plan(
+            value_factor=plan.number("WorthFactor"),
+            expected_rate=plan.number("BaseRate", 0.0),
+            reserved_rate=plan.number("FloorRate", 0.0),
+            excess_weight=plan.number("Proportion"),
+            rate_limit=plan.number("Limit", 0.0),
+            rate_limit_burst=plan.number("LimitBurst", 0.0),
         )
         for plan in root.tables("Contracts")
     ]
 
-    if not any(kind.worth for kind in classes):
+    if not any(kind.priority_weight for kind in classes):
         raise root.fail("Lanes[0].Worth", "want a class of some worth")
-    ramp = safety.number("RampTimeS", 0.0)
+    slow_start_window_s = safety.number("RampTimeS", 0.0)
 
     def optional(key: str) -> float | None:
         return None if safety.values.get(key) is None else safety.number(key)
@@ -251,28 +268,30 @@
     return api.Settings(
         classes=classes,
         plans=plans,
-        safety=api.Safety(
-            cold_from=safety.number("ColdFrom", 0.0),
-            ramp=ramp,
-            tip_multiple=safety.number("TipMultiple", 0.0),
-            tip_after=safety.number("TipAfterS", above=0.0) if ramp else safety.number("TipAfterS", 0.0),
-            ask_every=optional("AskEveryS"),
-            key_rest=safety.number("KeyRestS", 0.0),
-            extra_free=optional("FreeResends"),
-            extra_ratio=optional("ExtraRatio"),
-            extra_window=optional("LookBackS"),
+        safety=api.SafetyLimits(
+            slow_start_min_share=safety.number("ColdFrom", 0.0),
+            slow_start_window_s=slow_start_window_s,
+            overload_multiple=safety.number("TipMultiple", 0.0),
+            overload_window_s=safety.number("TipAfterS", above=0.0)
+            if slow_start_window_s
+            else safety.number("TipAfterS", 0.0),
+            endpoint_poll_interval_s=optional("AskEveryS"),
+            key_cooldown_s=safety.number("KeyRestS", 0.0),
+            retry_budget_base=optional("FreeResends"),
+            retry_budget_ratio=optional("ExtraRatio"),
+            retry_budget_window_s=optional("LookBackS"),
         ),
         seed=seed,
-        hosts=root.whole("Siblings", 0, 1 << 20, 0),
-        must_watch=facts.get("Discovery") == "subscribe",
+        gateway_count=root.whole("Siblings", 0, 1 << 20, 0),
+        must_watch_endpoints=facts.get("Discovery") == "subscribe",
         max_attempts=limits.whole("SendCap", 1, 1000),
-        cancel=limits.flag("Cancel"),
-        cold_units=extra.number("ColdUnits", 0.0),
-        largest=extra.number("Largest", 0.0),
-        mean=extra.number("MeanUnits", 0.0),
-        tells_others=extra.flag("SaysOthers"),
-        within_share=extra.number("WithinShare", 0.0),
-        retry_after=limits.number("MaxRetryAfterS", 0.0) if limits.flag("RetryAfter") else 0.0,
+        can_cancel=limits.flag("Cancel"),
+        slow_start_units=extra.number("ColdUnits", 0.0),
+        max_request_units=extra.number("Largest", 0.0),
+        mean_request_units=extra.number("MeanUnits", 0.0),
+        nodes_report_other_usage=extra.flag("SaysOthers"),
+        excess_value=extra.number("WithinShare", 0.0),
+        max_retry_after_s=limits.number("MaxRetryAfterS", 0.0) if limits.flag("RetryAfter") else 0.0,
     )
 
 
@@ -292,32 +311,32 @@
     return writes
 
 
-def read_config(environment: Mapping[str, str], fronts: Path = FRONTS) -> Config:
+def read_configuration(environment: Mapping[str, str], fronts: Path = FRONTS) -> GatewayConfig:
     """All that the daemon is told. RELAY_* variables win over the same keys of the file."""
     path = environment.get("RELAY_CONFIG", "")
     if not path:
-        raise BadConfig("RELAY_CONFIG: missing")
+        raise ConfigurationError("RELAY_CONFIG", "missing")
     try:
         values = json.loads(Path(path).read_bytes())
     except OSError as error:
-        raise BadConfig(f"RELAY_CONFIG: cannot read {path}: {error.strerror}") from error
+        raise ConfigurationError("RELAY_CONFIG", f"cannot read {path}: {error.strerror}") from error
     except ValueError as error:
-        raise BadConfig(f"RELAY_CONFIG: {path} is no JSON: {error}") from error
+        raise ConfigurationError("RELAY_CONFIG", f"{path} is no JSON: {error}") from error
     except RecursionError as error:
-        raise BadConfig(f"RELAY_CONFIG: {path} is nested too deeply") from error
+        raise ConfigurationError("RELAY_CONFIG", f"{path} is nested too deeply") from error
     if not isinstance(values, dict):
-        raise BadConfig(f"RELAY_CONFIG: {path} holds no object")
+        raise ConfigurationError("RELAY_CONFIG", f"{path} holds no object")
     root = Table(values, "")
     seed_text = root.text("seed", "0")
     try:
         seed = int(seed_text, 16)
     except ValueError as error:
-        raise BadConfig(f"seed: want hex digits, found {seed_text!r}") from error
+        raise ConfigurationError("seed", f"want hex digits, found {seed_text!r}") from error
     facts = root.table("settings")
     limits = facts.table("PolicyLimits")
     lanes, extra = facts.tables("Lanes"), facts.table("Extra", {})
     classes, plans = names(lanes), names(facts.tables("Contracts"))
-    sftp, vrrp = read_fronts(fronts, classes, plans)
+    sftp, vrrp = read_services(fronts, classes, plans)
     sockets = root.table("limits", {}).whole("sockets", 2 * SPARE_SOCKETS, 1 << 20, MOST_SOCKETS)
 
     def address(variable: str, key: str) -> Address:
@@ -325,38 +344,38 @@
             return read_address(text, variable)
         return root.address(key)
 
-    return Config(
+    return GatewayConfig(
         name=environment.get("RELAY_NAME") or root.text("name"),
         listen=address("RELAY_LISTEN", "listen"),
         discovery=address("RELAY_DISCOVERY", "discovery"),
-        file_discovery=root.address("discovery") if "discovery" in values else Address("", 0),
+        configured_discovery=root.address("discovery") if "discovery" in values else Address("", 0),
         seed=seed,
-        shares=Shares.of(sockets, sftp is not None),
-        known=root.get("known", {}),
+        connection_budget=ConnectionBudget.of(sockets, sftp is not None),
+        known_endpoints=root.get("known", {}),
         settings=read_settings(facts.values, seed),
-        classes=classes,
-        plans=plans,
-        give_up=[lane.number("GiveUpS", math.inf, above=0.0) for lane in lanes],
-        writes=read_writes(extra, len(lanes)),
-        shards=extra.whole("Shards", 0, 1 << 31, 0),
-        zones={zone: place for place, zone in enumerate(facts.each("Areas", str, "texts"))},
-        dial_timeout=limits.number("DialTimeoutS", 0.25, above=0.0),
-        idle_close=limits.number("IdleCloseS", 30.0, above=0.0),
+        class_indexes=classes,
+        plan_indexes=plans,
+        client_timeouts_s=[lane.number("GiveUpS", math.inf, above=0.0) for lane in lanes],
+        class_is_write=read_writes(extra, len(lanes)),
+        shard_count=extra.whole("Shards", 0, 1 << 31, 0),
+        zone_indexes={zone: place for place, zone in enumerate(facts.each("Areas", str, "texts"))},
+        connect_timeout_s=limits.number("DialTimeoutS", 0.25, above=0.0),
+        idle_close_s=limits.number("IdleCloseS", 30.0, above=0.0),
         sftp=sftp,
         vrrp=vrrp,
     )
 
 
-def read_fronts(
+def read_services(
     path: Path, classes: Mapping[str, int], plans: Mapping[str, int]
-) -> tuple[SftpFront | None, VrrpPeers | None]:
+) -> tuple[SftpConfig | None, VrrpConfig | None]:
     """The fronts file of the deployment; a front whose table is absent or not ``enabled`` is off."""
     try:
         values = tomllib.loads(path.read_text())
     except FileNotFoundError:
         return None, None
     except (OSError, ValueError) as error:
-        raise BadConfig(f"{path.name}: {error}") from error
+        raise ConfigurationError(path.name, str(error)) from error
     root = Table(values, f"{path.name}: ")
     sftp = read_sftp(root.table("sftp", {}), classes, plans)
     vrrp = read_vrrp(root.table("vrrp", {}))
@@ -364,7 +383,7 @@
     return sftp, vrrp
 
 
-def read_sftp(table: Table, classes: Mapping[str, int], plans: Mapping[str, int]) -> SftpFront | None:
+def read_sftp(table: Table, classes: Mapping[str, int], plans: Mapping[str, int]) -> SftpConfig | None:
     enabled = table.flag("enabled")
     if not enabled:
         return None
@@ -381,23 +400,23 @@
         plan, cell = entry.one_of("plan", plans), entry.whole("shard", -1, 1 << 31)
         volumes.append(VolumePath(prefix, volume, plan, cell, entry.whole("hosts", 1, 1 << 16, 1)))
         entry.nothing_else()
-    front = SftpFront(
+    front = SftpConfig(
         listen=table.address("listen"),
         volumes=sorted(volumes, key=lambda volume: -len(volume.prefix)),
         read_class=table.one_of("read_class", classes),
         write_class=table.one_of("write_class", classes),
-        box_port=table.whole("box_port", 0, 65535, 0),
-        most_upload=table.whole("most_upload", 1, MOST_WRITE, MOST_WRITE),
+        node_port=table.whole("box_port", 0, 65535, 0),
+        max_upload_bytes=table.whole("most_upload", 1, MOST_WRITE, MOST_WRITE),
         unit_bytes=table.whole("unit_bytes", 1, MOST_WRITE, 8192),
-        most_handles=table.whole("most_handles", 1, 1024, 16),
-        idle=table.number("idle_s", 60.0),
-        deadline=table.number("deadline_s", 1.5),
+        max_handles=table.whole("most_handles", 1, 1024, 16),
+        idle_timeout_s=table.number("idle_s", 60.0),
+        command_timeout_s=table.number("deadline_s", 1.5),
     )
     table.nothing_else()
     return front
 
 
-def read_vrrp(table: Table) -> VrrpPeers | None:
+def read_vrrp(table: Table) -> VrrpConfig | None:
     enabled = table.flag("enabled")
     if not enabled:
         return None
@@ -405,7 +424,7 @@
     for key, value in (("peers", peers), ("addresses", addresses)):
         if not isinstance(value, list) or not value or not all(isinstance(one, str) for one in value):
             raise table.fail(key, "want a list of texts")
-    vrrp = VrrpPeers(
+    vrrp = VrrpConfig(
         listen=table.address("listen"),
         peers=[read_address(peer, f"{table.path}peers") for peer in peers],
         router=table.whole("router", 1, 255),
--- a/storage_gateway/endpoints/registry.py
+++ b/storage_gateway/endpoints/registry.py
@@ -7,76 +7,76 @@
 from itertools import count
 
 from storage_gateway import policy_api as api
-from storage_gateway.config.reader import Address
+from storage_gateway.config import Address
 
 MOST_GONE = 1024  # boxes that went and whose numbers are kept, as they may return or a call may name them
 
 
 @dataclass(slots=True, frozen=True)
-class Instance:
+class Endpoint:
     """A box as discovery lists it."""
 
     name: str
     address: Address
     zone: str
-    cell: int
-    state: api.NodeState
-    started: float  # Unix time; 0 for long ago
+    shard: int
+    state: api.EndpointState
+    started_at: float  # Unix time; 0 for long ago
 
 
 @dataclass(slots=True, frozen=True)
-class Listing:
+class EndpointUpdate:
     """A list, or the changes to one."""
 
     version: int
-    whole: bool
-    instances: list[Instance]
+    is_snapshot: bool
+    endpoints: list[Endpoint]
 
 
-class Directory:
+class EndpointRegistry:
     """The latest word on each box. ``watchers`` hear of every box that changed or went."""
 
     def __init__(self, zones: dict[str, int]) -> None:
         self.zones = zones
-        self.numbers: dict[str, int] = {}  # a box that comes back has its old number
-        self.counted = count(1)  # a number is never given twice
-        self.gone: dict[str, None] = {}  # boxes that are not listed, the first to go first
-        self.boxes: dict[int, Instance] = {}
+        self.node_ids: dict[str, int] = {}  # a box that comes back has its old number
+        self.id_counter = count(1)  # a number is never given twice
+        self.removed: dict[str, None] = {}  # boxes that are not listed, the first to go first
+        self.endpoints: dict[int, Endpoint] = {}
         self.version: int | None = None
-        self.watchers: list[Callable[[int], None]] = []
+        self.listeners: list[Callable[[int], None]] = []
 
-    def serves(self, node: int) -> bool:
-        box = self.boxes.get(node)
-        return box is not None and box.state is api.NodeState.LIVE
+    def is_serving(self, node: int) -> bool:
+        box = self.endpoints.get(node)
+        return box is not None and box.state is api.EndpointState.SERVING
 
-    def apply(self, listing: Listing) -> list[api.NodeEntry]:
+    def apply(self, listing: EndpointUpdate) -> list[api.EndpointEntry]:
         """Take in a list and return its entries for the policy."""
-        before = dict(self.boxes)
-        if listing.whole:
-            self.boxes.clear()
+        before = dict(self.endpoints)
+        if listing.is_snapshot:
+            self.endpoints.clear()
         entries = []
-        for box in listing.instances:
-            if box.name not in self.numbers:
-                self.numbers[box.name] = next(self.counted)
-            node = self.numbers[box.name]
-            if box.state is api.NodeState.GONE:
-                self.boxes.pop(node, None)
+        for box in listing.endpoints:
+            if box.name not in self.node_ids:
+                self.node_ids[box.name] = next(self.id_counter)
+            node = self.node_ids[box.name]
+            if box.state is api.EndpointState.REMOVED:
+                self.endpoints.pop(node, None)
             else:
-                self.boxes[node] = box
+                self.endpoints[node] = box
             zone = self.zones.setdefault(box.zone, len(self.zones))
-            entries.append(api.NodeEntry(node, box.cell, zone, box.state, box.started))
+            entries.append(api.EndpointEntry(node, box.shard, zone, box.state, box.started_at))
         self.version = listing.version
         self.forget()
         for node, box in before.items():
-            if self.boxes.get(node) != box:
-                for watcher in self.watchers:
+            if self.endpoints.get(node) != box:
+                for watcher in self.listeners:
                     watcher(node)
         return entries
 
     def forget(self) -> None:
         """Guards the memory of a long life in which boxes are replaced under new names all the time."""
-        unlisted = [name for name, node in self.numbers.items() if node not in self.boxes]
-        self.gone = {name: None for name in self.gone if self.numbers[name] not in self.boxes}
-        self.gone.update(dict.fromkeys(unlisted))
-        for name in list(self.gone)[: max(0, len(self.gone) - MOST_GONE)]:
-            del self.gone[name], self.numbers[name]
+        unlisted = [name for name, node in self.node_ids.items() if node not in self.endpoints]
+        self.removed = {name: None for name in self.removed if self.node_ids[name] not in self.endpoints}
+        self.removed.update(dict.fromkeys(unlisted))
+        for name in list(self.removed)[: max(0, len(self.removed) - MOST_GONE)]:
+            del self.removed[name], self.node_ids[name]
--- a/storage_gateway/endpoints/watch.py
+++ b/storage_gateway/endpoints/watch.py
@@ -12,9 +12,10 @@
 import structlog
 
 from storage_gateway import policy_api as api
-from storage_gateway.config.reader import Address
-from storage_gateway.endpoints.registry import Directory, Listing
-from storage_gateway.http.messages import BadMessage, decode_listing
+from storage_gateway.config import Address
+from storage_gateway.endpoints.codec import decode_endpoint_update
+from storage_gateway.endpoints.registry import EndpointRegistry, EndpointUpdate
+from storage_gateway.errors import ProtocolError
 
 WINDOW = 6.0  # seconds after which a change counts as told, once discovery had it and could be reached
 SILENCE = 3.0  # seconds since the last whole line, where an empty one comes every two: the watch is dead
@@ -35,12 +36,13 @@
     what the window leaves.
 
     Guards discovery: what ends one watch ends all, and a fleet that comes back at once, or as fast as it is
-    turned away, keeps the service at work on calls that nobody waits for any more."""
+    turned away, keeps the service at work on calls that nobody waits for any more.
+    """
     most = MOST_ALONE if callers <= 1 else MOST_PAUSE if failures else MOST_FIRST
     return min(most, max(PAUSE, EACH * (callers - 1)) * 2.0 ** min(failures, 16))
 
 
-class Gathered:
+class WatchMessageAssembler:
     """Puts the lines of a watch together to messages: one object a line, or an indented one over many."""
 
     def __init__(self) -> None:
@@ -49,49 +51,54 @@
     def add(self, line: bytes) -> bytes | None:
         """A whole message, an empty one included; None amid one."""
         if not line.endswith(b"\n"):
-            raise BadMessage("a line is cut")
+            raise ProtocolError("endpoint watch", "a line is cut")
         if not line.strip() and not self.text:
             return b""
         self.text += line
         if len(self.text) > MOST_LINE:
-            raise BadMessage("a message does not end")
+            raise ProtocolError("endpoint watch", "a message does not end")
         try:
             json.loads(self.text)
         except json.JSONDecodeError as error:
             if line.strip() and error.pos >= len(error.doc.rstrip()):
                 return None  # it ended amid an object, as an indented one does
-            raise BadMessage(str(error)) from error
+            raise ProtocolError("endpoint watch", str(error)) from error
         except (ValueError, RecursionError) as error:
-            raise BadMessage(str(error)) from error
+            raise ProtocolError("endpoint watch", str(error)) from error
         text, self.text = self.text, b""
         return text
 
 
-class Discovery:
+class DiscoveryClient:
     """Keeps the directory, and through it the policy, told: by one watch, or amid a move by two."""
 
     def __init__(
-        self, address: Address, directory: Directory, tell: Callable[[api.Event], None], callers: int = 1,
+        self,
+        address: Address,
+        registry: EndpointRegistry,
+        tell: Callable[[api.Event], None],
+        callers: int = 1,
         seed: int = 0,
-    ) -> None:  # fmt: skip
-        self.address, self.directory, self.tell = address, directory, tell
+    ) -> None:
+        self.address, self.registry, self.tell = address, registry, tell
         self.callers, self.random = callers, random.Random(seed)  # how many fronts call the same service
         self.call = CALL if callers > 1 else CALL_ALONE
         self.heard = asyncio.Event()  # something, in this life
         self.taken_at = time.monotonic()  # when the latest word on the list came
         self.watches: list[Watch] = []  # the last one is on the address that counts
 
-    def take(self, listing: Listing, kind: api.ListKind | None = None) -> None:
+    def take(self, listing: EndpointUpdate, kind: api.EndpointUpdateKind | None = None) -> None:
         """A list goes to the directory and, in the same turn, to the policy."""
-        whole = api.ListKind.FULL if listing.whole else api.ListKind.CHANGES
+        whole = api.EndpointUpdateKind.SNAPSHOT if listing.is_snapshot else api.EndpointUpdateKind.DELTA
         self.taken_at = time.monotonic()
-        self.tell(api.NodeList(kind or whole, self.directory.apply(listing)))
+        self.tell(api.EndpointsChanged(kind or whole, self.registry.apply(listing)))
 
     def start(self) -> None:
         """Watch; an old copy of the list counts, as its versions are this agent's. Who has one and shares the
-        service takes a turn: all fronts may have started at one time."""
-        turn = self.pause(0) if self.directory.boxes and self.callers > 1 else 0.0
-        self.watches.append(Watch(self, self.address, self.directory.version, turn))
+        service takes a turn: all fronts may have started at one time.
+        """
+        turn = self.pause(0) if self.registry.endpoints and self.callers > 1 else 0.0
+        self.watches.append(Watch(self, self.address, self.registry.version, turn))
 
     def pause(self, failures: int) -> float:
         """Seconds until the next call, after so many in a row that brought no list."""
@@ -99,7 +106,8 @@
 
     def move(self, address: Address) -> None:
         """Watch another agent. The whole list comes first, as the old one's versions are nothing to it. Until
-        it has come the old watch goes on: nothing is missed, and no wait on the old one delays the new."""
+        it has come the old watch goes on: nothing is missed, and no wait on the old one delays the new.
+        """
         self.address = address
         self.watches.append(Watch(self, address, None))
 
@@ -108,10 +116,10 @@
         while self.watches and self.watches[0] is not watch:
             self.watches.pop(0).task.cancel()
 
-    def figures(self) -> dict[str, object]:
+    def status_fields(self) -> dict[str, object]:
         """For the log: which list counts, since when, and whether its watch fails."""
         return {
-            "list": self.directory.version,
+            "list": self.registry.version,
             "list_age_s": round(time.monotonic() - self.taken_at, 1),
             "watch_failures": self.watches[-1].failures if self.watches else None,
         }
@@ -125,7 +133,7 @@
     """The watch on one agent, kept up for ever. ``version`` is that agent's; None asks for the whole list."""
 
     def __init__(
-        self, owner: Discovery, address: Address, version: int | None, turn: float = 0.0
+        self, owner: DiscoveryClient, address: Address, version: int | None, turn: float = 0.0
     ) -> None:
         host = f"[{address.host}]" if ":" in address.host else address.host
         self.url, self.version = f"http://{host}:{address.port}/discovery/hosts", version
@@ -145,7 +153,7 @@
                         await self.fetch(session)
                     await self.watch(session)
                     log.info("discovery_ended", address=self.url)
-                except BadMessage as error:
+                except ProtocolError as error:
                     log.warning("discovery_line_skipped", why=str(error))
                     self.version = None  # the line may have held a change: take the whole list
                 except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
@@ -164,13 +172,13 @@
     async def fetch(self, session: aiohttp.ClientSession) -> None:
         limit = asyncio.timeout(self.owner.call)
         async with limit, session.get(self.url, raise_for_status=True) as response:
-            listing = decode_listing(await response.read())
-        self.take(listing, api.ListKind.FULL)
+            listing = decode_endpoint_update(await response.read())
+        self.take(listing, api.EndpointUpdateKind.SNAPSHOT)
         self.owner.settled(self)
 
     async def watch(self, session: aiohttp.ClientSession) -> None:
         """Silence counts from the last whole message: bytes that trickle in are none."""
-        params, gathered = {"watch": "1", "after": str(self.version)}, Gathered()
+        params, gathered = {"watch": "1", "after": str(self.version)}, WatchMessageAssembler()
         async with asyncio.timeout(self.owner.call) as silence:
             async with session.get(self.url, params=params, raise_for_status=True) as response:
                 while line := await response.content.readline():
@@ -180,9 +188,9 @@
                     silence.reschedule(asyncio.get_running_loop().time() + SILENCE)
                     self.hear(len(line))
                     if message:
-                        self.take(decode_listing(message))
+                        self.take(decode_endpoint_update(message))
             if gathered.text:
-                raise BadMessage("a message is cut")
+                raise ProtocolError("endpoint watch", "a message is cut")
 
     def hear(self, size: int) -> None:
         if self.failures or not self.owner.heard.is_set():
@@ -190,7 +198,7 @@
         self.failures = 0
         self.owner.heard.set()
 
-    def take(self, listing: Listing, kind: api.ListKind | None = None) -> None:
+    def take(self, listing: EndpointUpdate, kind: api.EndpointUpdateKind | None = None) -> None:
         self.owner.take(listing, kind)
         self.version = listing.version
         self.owner.heard.set()
--- a/storage_gateway/http/node_client.py
+++ b/storage_gateway/http/node_client.py
@@ -13,20 +13,20 @@
 from collections.abc import Callable
 from functools import partial
 
-from storage_gateway.config.reader import Address
-from storage_gateway.endpoints.registry import Directory
+from storage_gateway.config import Address
+from storage_gateway.endpoints.registry import EndpointRegistry
+from storage_gateway.errors import InvalidResponseError
 from storage_gateway.http.messages import (
-    Answer,
-    AnswerReader,
-    Ask,
-    SpoiltAnswer,
+    ClientRequest,
+    NodeResponse,
+    ResponseParser,
     decode_elsewhere,
     decode_outcome,
     encode_attempt,
 )  # fmt: skip
 from storage_gateway.http.sockets import unread
-from storage_gateway.lifecycle import Ending
-from storage_gateway.policy_api import Outcome
+from storage_gateway.lifecycle import AttemptResult
+from storage_gateway.policy_api import AttemptOutcome
 
 IDLE_SHARE = 0.5  # of the boxes' idle limit, after which a pooled connection is dropped
 REST = 0.02  # seconds that a connection rests after an answer, so that what comes behind that is noticed
@@ -39,8 +39,8 @@
     def __init__(self) -> None:
         self.loop = asyncio.get_running_loop()
         self.transport: asyncio.Transport | None = None
-        self.reader: AnswerReader | None = None  # of the answer that is awaited
-        self.answer: asyncio.Future[Answer] | None = None
+        self.reader: ResponseParser | None = None  # of the answer that is awaited
+        self.answer: asyncio.Future[NodeResponse] | None = None
         self.gap: asyncio.TimerHandle | None = None
         self.expiry: asyncio.TimerHandle | None = None
         self.unwritten = False  # a part of the request is still here
@@ -64,7 +64,7 @@
             return
         try:
             answer = self.reader.feed(data)
-        except SpoiltAnswer as error:
+        except InvalidResponseError as error:
             self.fail(error)
             return
         if answer:
@@ -72,16 +72,16 @@
         elif self.gap is None or self.reader.message:
             if self.gap:
                 self.gap.cancel()
-            self.gap = self.loop.call_later(GAP, self.fail, SpoiltAnswer("it does not end"))
+            self.gap = self.loop.call_later(GAP, self.fail, InvalidResponseError("it does not end"))
 
     def eof_received(self) -> None:
-        self.fail(SpoiltAnswer("the connection ended"))
+        self.fail(InvalidResponseError("the connection ended"))
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
-        self.fail(SpoiltAnswer("the connection broke"))
+        self.fail(InvalidResponseError("the connection broke"))
 
-    def fail(self, error: SpoiltAnswer) -> None:
+    def fail(self, error: InvalidResponseError) -> None:
         if self.answer and not self.answer.done():
             self.answer.set_exception(error)
         self.abort()
@@ -99,10 +99,10 @@
             return False
         return not unread(self.transport)
 
-    async def exchange(self, request: bytes) -> Answer:
+    async def exchange(self, request: bytes) -> NodeResponse:
         if self.transport is None or self.transport.is_closing():
             raise ConnectionError("it ended before the first byte")  # so nothing ran
-        self.reader, self.answer = AnswerReader(), self.loop.create_future()
+        self.reader, self.answer = ResponseParser(), self.loop.create_future()
         self.transport.write(request)
         try:
             return await self.answer
@@ -113,7 +113,7 @@
                 self.gap = None
 
 
-class Pool:
+class ConnectionPool:
     """The idle connections to one life of one box, the longest rested first."""
 
     def __init__(self, address: Address) -> None:
@@ -121,16 +121,18 @@
         self.idle: deque[Connection] = deque()
 
 
-class Boxes:
+class NodeClient:
     """Attempts at the boxes of the directory. ``most`` bounds the connections to all of them."""
 
-    def __init__(self, directory: Directory, dial_timeout: float, idle_close: float, most: int) -> None:
-        self.directory, self.dial_timeout, self.most = directory, dial_timeout, most
-        self.keep = idle_close * IDLE_SHARE
-        self.pools: dict[int, Pool] = {}
+    def __init__(
+        self, registry: EndpointRegistry, connect_timeout_s: float, idle_close_s: float, most: int
+    ) -> None:
+        self.registry, self.connect_timeout_s, self.most = registry, connect_timeout_s, most
+        self.keep = idle_close_s * IDLE_SHARE
+        self.pools: dict[int, ConnectionPool] = {}
         self.open = 0  # connections, those that come up included
         self.dials, self.dial_failures = 0, 0  # since the last report
-        directory.watchers.append(self.changed)
+        registry.listeners.append(self.changed)
 
     def changed(self, node: int) -> None:
         """The box drains, went or started anew: no connection to the old one is used again."""
@@ -139,26 +141,27 @@
             while pool.idle:
                 self.drop(pool, pool.idle[0])
 
-    def drop(self, pool: Pool, connection: Connection) -> None:
+    def drop(self, pool: ConnectionPool, connection: Connection) -> None:
         """An idle connection has been so for long, or is in the way."""
         self.take_out(pool, connection)
         connection.abort()
 
-    def take_out(self, pool: Pool, connection: Connection) -> None:
+    def take_out(self, pool: ConnectionPool, connection: Connection) -> None:
         pool.idle.remove(connection)
         self.open -= 1
         connection.left = None
         if connection.expiry:
             connection.expiry.cancel()
 
-    async def attempt(self, node: int, ask: Ask, left: Callable[[], float]) -> Ending[bytes]:
+    async def attempt(self, node: int, ask: ClientRequest, left: Callable[[], float]) -> AttemptResult[bytes]:
         """Send the request to the box, once; any ending that is not proven harmless may have run. ``left``
-        says how many seconds there are for it, none once nobody waits for the answer."""
-        if not self.directory.serves(node):
-            return Ending(Outcome.NOT_SENT)
+        says how many seconds there are for it, none once nobody waits for the answer.
+        """
+        if not self.registry.is_serving(node):
+            return AttemptResult(AttemptOutcome.NOT_SENT)
         pool = self.pools.get(node)
         if pool is None:
-            pool = self.pools[node] = Pool(self.directory.boxes[node].address)
+            pool = self.pools[node] = ConnectionPool(self.registry.endpoints[node].address)
         connection, answer, unused = None, None, False
         self.open += 1
         try:
@@ -166,17 +169,19 @@
             wait = left()  # the last look before the first byte: much may have come while it was dialled
             if pool.retired or wait <= 0:
                 unused = not pool.retired
-                return Ending(Outcome.NOT_SENT)
+                return AttemptResult(AttemptOutcome.NOT_SENT)
             try:
                 answer = await connection.exchange(encode_attempt(ask, pool.address, wait))
-            except SpoiltAnswer:
-                return Ending(Outcome.NO_CONNECTION if connection.unwritten else Outcome.RESET)
+            except InvalidResponseError:
+                return AttemptResult(
+                    AttemptOutcome.CONNECT_FAILED if connection.unwritten else AttemptOutcome.CONNECTION_RESET
+                )
             outcome = decode_outcome(answer.status, answer.headers)
-            if outcome is not Outcome.SERVED:
-                return Ending(outcome)
-            return Ending(outcome, answer.body, decode_elsewhere(answer.headers))
+            if outcome is not AttemptOutcome.SERVED:
+                return AttemptResult(outcome)
+            return AttemptResult(outcome, answer.body, decode_elsewhere(answer.headers))
         except (OSError, TimeoutError):
-            return Ending(Outcome.NO_CONNECTION)
+            return AttemptResult(AttemptOutcome.CONNECT_FAILED)
         finally:
             reusable = unused or (answer is not None and answer.reusable)
             if connection and reusable and connection.usable() and not pool.retired:
@@ -186,7 +191,7 @@
                 if connection:
                     connection.abort()
 
-    def rested(self, pool: Pool) -> Connection | None:
+    def rested(self, pool: ConnectionPool) -> Connection | None:
         """An idle connection. One with bytes that nobody awaits, seen by the loop or not yet, is none."""
         now = asyncio.get_running_loop().time()
         while pool.idle and pool.idle[0].rested_at <= now:
@@ -197,7 +202,7 @@
             connection.abort()
         return None
 
-    async def dial(self, pool: Pool) -> Connection:
+    async def dial(self, pool: ConnectionPool) -> Connection:
         if self.open > self.most:  # as many are kept as clients can have requests: an idle one is in the way
             for other in self.pools.values():
                 if other.idle:
@@ -205,7 +210,7 @@
                     break
         self.dials += 1
         try:
-            async with asyncio.timeout(self.dial_timeout):
+            async with asyncio.timeout(self.connect_timeout_s):
                 loop = asyncio.get_running_loop()
                 _, connection = await loop.create_connection(Connection, pool.address.host, pool.address.port)
         except (OSError, TimeoutError):
@@ -213,12 +218,12 @@
             raise
         return connection
 
-    def figures(self) -> dict[str, object]:
+    def status_fields(self) -> dict[str, object]:
         """For the log: connections, and those that were dialled since the last call."""
         dials, failures, self.dials, self.dial_failures = self.dials, self.dial_failures, 0, 0
         return {"connections": self.open, "dials": dials, "dial_failures": failures}
 
-    def give_back(self, pool: Pool, connection: Connection) -> None:
+    def give_back(self, pool: ConnectionPool, connection: Connection) -> None:
         loop = asyncio.get_running_loop()
         connection.rested_at = loop.time() + REST
         connection.expiry = loop.call_later(self.keep, self.drop, pool, connection)
--- a/storage_gateway/http/server.py
+++ b/storage_gateway/http/server.py
@@ -15,11 +15,12 @@
 from aiohttp.web_protocol import RequestHandler
 
 from storage_gateway import policy_api as api
-from storage_gateway.config.reader import Address, Config
-from storage_gateway.http.messages import MOST_BODY, Ask, BadMessage, decode_ask
-from storage_gateway.http.node_client import Boxes
+from storage_gateway.config import Address, GatewayConfig
+from storage_gateway.errors import ProtocolError
+from storage_gateway.http.messages import MOST_BODY, ClientRequest, decode_request
+from storage_gateway.http.node_client import NodeClient
 from storage_gateway.http.sockets import GracefulTransport, Listener, gone, unread
-from storage_gateway.lifecycle import Core, Ending, Failed, Refused, Served
+from storage_gateway.lifecycle import AttemptResult, Failed, Rejected, RequestExecutor, Served
 
 IDLE = 2.1  # seconds that a client's connection may stand without a request
 HEAD = 0.6  # seconds for the rest of a head whose first byte has come, where IDLE ends amid it
@@ -37,8 +38,8 @@
 class Client(RequestHandler):
     """A client's connection: aiohttp's, and the guards that it lacks against clients that behave badly."""
 
-    def __init__(self, front: Front, connection: socket.socket, **settings: Any) -> None:
-        super().__init__(front.server, loop=front.core.loop, **settings)
+    def __init__(self, front: HttpServer, connection: socket.socket, **settings: Any) -> None:
+        super().__init__(front.server, loop=front.executor.loop, **settings)
         self.front, self.connection = front, connection
         self.graceful: GracefulTransport | None = None
         self.came = self._loop.time()
@@ -131,12 +132,14 @@
         return response
 
 
-class Front:
+class HttpServer:
     """One listener. ``handle`` is the whole life of a message."""
 
-    def __init__(self, config: Config, core: Core, boxes: Boxes, ready: Callable[[], bool]) -> None:
-        self.config, self.core, self.boxes, self.ready = config, core, boxes, ready
-        self.most_clients = config.shares.clients
+    def __init__(
+        self, config: GatewayConfig, executor: RequestExecutor, boxes: NodeClient, ready: Callable[[], bool]
+    ) -> None:
+        self.config, self.executor, self.boxes, self.ready = config, executor, boxes, ready
+        self.most_clients = config.connection_budget.client_connections
         self.closing = False
         self.server = web.Server(
             self.handle, request_factory=self.make_request, handler_cancellation=True
@@ -158,7 +161,7 @@
         task: asyncio.Task[None],
     ) -> web.BaseRequest:
         return web.BaseRequest(
-            message, payload, protocol, writer, task, self.core.loop, client_max_size=MOST_BODY
+            message, payload, protocol, writer, task, self.executor.loop, client_max_size=MOST_BODY
         )
 
     def listen(self) -> None:
@@ -167,10 +170,11 @@
 
     def room(self) -> bool:
         """Whether one more connection has a place. At the bound the oldest that never spoke makes room, or
-        else the longest idle; where a flood has just filled it, the kernel holds newcomers for an instant."""
+        else the longest idle; where a flood has just filled it, the kernel holds newcomers for an instant.
+        """
         if len(self.clients) < self.most_clients:
             return True
-        before = self.core.loop.time() - SILENT
+        before = self.executor.loop.time() - SILENT
         for one in [*self.silent, *self.idle]:
             if one.came <= before and one.evictable():
                 one.evict()
@@ -206,13 +210,13 @@
         # Guards against clients that ask once and keep their connection for good: they would soon hold all
         # that clients can open, and the next find none. A close that the answer tells of crosses nothing.
         # Only idle ones count: amid a storm of repeats, new connections would cost what the answers need.
-        crowded = len(self.idle) - len(self.silent) > self.config.shares.crowd
+        crowded = len(self.idle) - len(self.silent) > self.config.connection_budget.idle_client_connections
         if crowded or self.closing or not request.content.is_eof() or client.crowded():
             response.force_close()  # Connection: close
         return response
 
     async def answer(self, request: web.BaseRequest, client: Client) -> web.Response:
-        came = self.core.now()
+        came = self.executor.now()
         path = request.path
         if path == "/up":
             return web.Response(status=200 if self.ready() else 503)
@@ -225,56 +229,56 @@
         try:
             async with asyncio.timeout(BODY):
                 body = await request.read() if request.body_exists else b""
-            ask = decode_ask(self.config, request.method, request.raw_path, request.headers, body)
+            ask = decode_request(self.config, request.method, request.raw_path, request.headers, body)
         except TimeoutError:
             return web.Response(status=408)
         except web.HTTPRequestEntityTooLarge:
             return web.Response(status=413)
-        except BadMessage as error:
+        except ProtocolError as error:
             return web.Response(status=400, text=f"{error}\n")
         if client.crowded():
             return web.Response(status=400, text="one request at a time\n")
         client.whole = True
         while self.over and self.over[0][0] <= came:
             self.taken.discard(self.over.popleft()[1])
-        if ask.trace in self.taken:  # passed on, it would run a request twice that is open, or just was
+        if ask.trace_id in self.taken:  # passed on, it would run a request twice that is open, or just was
             return web.Response(status=400, text="X-Trace-Id: taken\n")
-        self.taken.add(ask.trace)
+        self.taken.add(ask.trace_id)
         try:
-            return await self.schedule(ask, came + ask.wait, client)
+            return await self.schedule(ask, came + ask.timeout_s, client)
         finally:
-            self.over.append((self.core.now() + REMEMBERED, ask.trace))
+            self.over.append((self.executor.now() + REMEMBERED, ask.trace_id))
 
-    async def schedule(self, ask: Ask, deadline: float, client: Client) -> web.Response:
+    async def schedule(self, ask: ClientRequest, deadline: float, client: Client) -> web.Response:
         """One request through the core: an attempt is one exchange with a box."""
 
         def left() -> float:
-            return 0.0 if client.has_left() else self.core.left(arrival.request)
+            return 0.0 if client.has_left() else self.executor.attempt_time_left(arrival.request_id)
 
-        async def attempt(node: int) -> Ending[bytes]:
+        async def attempt(node: int) -> AttemptResult[bytes]:
             return await self.boxes.attempt(node, ask, left)
 
-        arrival = api.Arrival(
-            request=self.core.new_id(),
+        arrival = api.RequestArrived(
+            request_id=self.executor.new_request_id(),
             class_index=ask.class_index,
-            plan=ask.plan,
-            volume=ask.volume,
-            item=ask.item,
-            cell=ask.cell,
+            plan_index=ask.plan_index,
+            volume_id=ask.volume_id,
+            object_key=ask.object_key,
+            shard=ask.shard,
             units=ask.units,
             deadline=deadline,
-            hosts=ask.hosts,
+            gateway_count=ask.gateway_count,
         )
-        match await self.core.serve(arrival, attempt):
+        match await self.executor.execute(arrival, attempt):
             case Served(body):
                 return web.Response(body=body)
-            case Refused(wait):
+            case Rejected(wait):
                 advice = {"Retry-After": f"{wait:.3f}"} if wait > 0 else None
                 return web.Response(status=503, headers=advice)
             case Failed():
                 return web.Response(status=502)
 
-    def figures(self) -> dict[str, object]:
+    def status_fields(self) -> dict[str, object]:
         """For the log: the clients' connections."""
         return {"clients": len(self.clients), "clients_idle": len(self.idle)}
 
--- a/storage_gateway/http/sockets.py
+++ b/storage_gateway/http/sockets.py
@@ -1,5 +1,6 @@
 """What asyncio does not offer for sockets: a look for unread bytes or the peer's end, a close that lets the
-peer read what was written, and a listener that can wait for room."""
+peer read what was written, and a listener that can wait for room.
+"""
 
 from __future__ import annotations
 
@@ -21,7 +22,8 @@
 
 def gone(connection: socket.socket) -> bool:
     """The peer has closed or reset, whether or not the loop has heard of it; bytes behind a request are no
-    end, but one behind them is seen too."""
+    end, but one behind them is seen too.
+    """
     if connection.fileno() < 0:
         return True
     look = select.poll()
@@ -48,7 +50,8 @@
     """A transport whose close() shuts the sending side and reads on for some seconds before the socket goes.
 
     Guards the last answer: a socket that is closed over unread bytes resets the connection, and the peer may
-    lose what it has not read yet. The protocol is to drop what comes once ``is_closing``."""
+    lose what it has not read yet. The protocol is to drop what comes once ``is_closing``.
+    """
 
     def __init__(self, inner: asyncio.Transport, seconds: float, most: float) -> None:
         super().__init__()
@@ -109,7 +112,8 @@
     """Accepts a connection only when there is ``room`` for it; until then the kernel holds it.
 
     Guards the descriptors: asyncio's own listener accepts a backlog at a time before any is counted, and
-    pauses for a second once there are none left."""
+    pauses for a second once there are none left.
+    """
 
     def __init__(
         self, host: str, port: int, room: Callable[[], bool],
@@ -130,18 +134,19 @@
     def accept(self) -> None:
         for _ in range(ACCEPTED):
             if not readable(self.socket.fileno()):
-                return
+                return None
             if not self.room():
                 return self.wait()
             try:
                 connection, _ = self.socket.accept()
             except BlockingIOError:
-                return
+                return None
             except OSError:
                 return self.wait()
             task = self.loop.create_task(self.connect(self.make(connection), connection))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
+        return None
 
     def wait(self) -> None:
         self.loop.remove_reader(self.socket)
--- a/storage_gateway/lifecycle.py
+++ b/storage_gateway/lifecycle.py
@@ -19,23 +19,23 @@
 from storage_gateway.policy.policy import NEVER_RAN, Policy
 
 T = TypeVar("T")
-ATTEMPT_MARGIN = 0.04  # an attempt ends this long before the client's deadline, so that the answer beats it
-ANSWER_MARGIN = 0.015  # and the core answers by itself where the policy still has not
+ATTEMPT_MARGIN_S = 0.04  # an attempt ends this long before the client's deadline, so that the answer beats it
+RESPONSE_MARGIN_S = 0.015  # and the core answers by itself where the policy still has not
 SOONEST = 0.005
 REPORT = 2.0  # seconds between the log's lines on what the host does
 log = structlog.get_logger()
 
 
 @dataclass(slots=True)
-class Ending(Generic[T]):
+class AttemptResult(Generic[T]):
     """How an attempt ended, its answer, and the units of its volume that the node served by other hosts."""
 
-    outcome: api.Outcome
+    outcome: api.AttemptOutcome
     value: T | None = None
-    elsewhere: float = 0.0
+    units_elsewhere: float = 0.0
 
 
-Attempt = Callable[[int], Awaitable[Ending[T]]]  # of the node
+Attempt = Callable[[int], Awaitable[AttemptResult[T]]]  # of the node
 
 
 @dataclass(slots=True)
@@ -44,10 +44,10 @@
 
 
 @dataclass(slots=True)
-class Refused:
+class Rejected:
     """Turned away, and trying again is harmless, best after ``wait`` seconds."""
 
-    wait: float
+    retry_after_s: float
 
 
 @dataclass(slots=True)
@@ -55,43 +55,53 @@
     """No promise about its effect."""
 
 
-class Call:
+class PendingRequest:
     """A request being served: what the policy says of it, and the timers of its answer and its attempt."""
 
-    __slots__ = ("actions", "answer_timer", "attempt_timer", "attempts", "deadline", "may_have_run", "until")
+    __slots__ = (
+        "actions",
+        "answer_timer",
+        "attempt_timer",
+        "attempts",
+        "deadline",
+        "may_have_executed",
+        "until",
+    )
 
     def __init__(self, deadline: float) -> None:
-        self.actions: asyncio.Queue[api.Send | api.Refuse | api.Fail] = asyncio.Queue()
+        self.actions: asyncio.Queue[api.SendAttempt | api.RejectRequest | api.FailRequest] = asyncio.Queue()
         self.deadline = deadline
         self.answer_timer: asyncio.Timeout | None = None
         self.attempt_timer: asyncio.Timeout | None = None
         self.attempts, self.until = 0, math.inf
-        self.may_have_run = False
+        self.may_have_executed = False
 
 
-class Core:
+class RequestExecutor:
     """Owner of the one policy. Every event of one turn of the loop goes into one step."""
 
     def __init__(self, settings: api.Settings) -> None:
         self.loop = asyncio.get_running_loop()
-        self.offset = time.time() - self.loop.time()  # once: the clock goes on evenly if the system's jumps
+        self.clock_offset_s = (
+            time.time() - self.loop.time()
+        )  # once: the clock goes on evenly if the system's jumps
         self.policy = Policy(settings)
-        self.calls: dict[str, Call] = {}
+        self.pending: dict[str, PendingRequest] = {}
         self.events: list[api.Event] = []
-        self.wake_timer: asyncio.TimerHandle | None = None
+        self.policy_timer: asyncio.TimerHandle | None = None
         self.numbered = 0
-        self.last_answer = math.inf  # a process that is to end answers nothing later
+        self.response_deadline = math.inf  # a process that is to end answers nothing later
         self.lag = 0.0  # the longest that a wake-up of the loop came late since the last report
-        self.reports: list[Callable[[], dict[str, object]]] = []  # what other parts add to a report
+        self.status_sources: list[Callable[[], dict[str, object]]] = []  # what other parts add to a report
 
-    def watch_self(self) -> None:
+    def start_status_log(self) -> None:
         """From now on, a line in the log every few seconds: figures of the program, none of a request."""
         self.loop.call_at(self.loop.time() + REPORT, self.report, self.loop.time() + REPORT)
 
     def report(self, due: float) -> None:
         self.lag = max(self.lag, self.loop.time() - due)
-        figures: dict[str, object] = {"open": len(self.calls), "lag_ms": round(1000 * self.lag, 1)}
-        for part in [self.policy.figures, *self.reports]:
+        figures: dict[str, object] = {"open": len(self.pending), "lag_ms": round(1000 * self.lag, 1)}
+        for part in [self.policy.status_fields, *self.status_sources]:
             figures.update(part())
         log.info("status", cpu_s=round(time.process_time(), 2), **figures)
         self.lag = 0.0
@@ -100,31 +110,34 @@
 
     def now(self) -> float:
         """Unix time, by the monotonic clock."""
-        return self.loop.time() + self.offset
+        return self.loop.time() + self.clock_offset_s
 
-    def drain(self, seconds: float) -> None:
+    def begin_shutdown(self, seconds: float) -> None:
         """Whatever is open, or comes from now on, has its answer within so many seconds."""
-        self.last_answer = self.now() + seconds
-        for call in self.calls.values():
-            call.deadline = min(call.deadline, self.last_answer)
-            for timer, margin in ((call.answer_timer, ANSWER_MARGIN), (call.attempt_timer, ATTEMPT_MARGIN)):
-                due = call.deadline - margin - self.offset
+        self.response_deadline = self.now() + seconds
+        for call in self.pending.values():
+            call.deadline = min(call.deadline, self.response_deadline)
+            for timer, margin in (
+                (call.answer_timer, RESPONSE_MARGIN_S),
+                (call.attempt_timer, ATTEMPT_MARGIN_S),
+            ):
+                due = call.deadline - margin - self.clock_offset_s
                 if timer and not timer.expired() and due < (timer.when() or math.inf):
                     timer.reschedule(due)
 
-    def left(self, request: str) -> float:
+    def attempt_time_left(self, request: str) -> float:
         """Seconds for an attempt that has not begun; none if it must not begin any more."""
-        call = self.calls.get(request)
+        call = self.pending.get(request)
         if call is None or self.now() > call.until:
             return 0.0
-        return call.deadline - ATTEMPT_MARGIN - self.now()
+        return call.deadline - ATTEMPT_MARGIN_S - self.now()
 
-    def new_id(self) -> str:
+    def new_request_id(self) -> str:
         """Ids of the core's own: a client that repeats one of its ids mixes nothing up."""
         self.numbered += 1
         return str(self.numbered)
 
-    def tell(self, event: api.Event) -> None:
+    def post(self, event: api.Event) -> None:
         if not self.events:
             self.loop.call_soon(self.step)
         self.events.append(event)
@@ -138,83 +151,107 @@
             return
         for action in actions:
             match action:
-                case api.Send(request) | api.Refuse(request) | api.Fail(request):
-                    if call := self.calls.get(request):
+                case api.SendAttempt(request) | api.RejectRequest(request) | api.FailRequest(request):
+                    if call := self.pending.get(request):
                         call.actions.put_nowait(action)
-                case api.Cancel(request, attempt):
-                    call = self.calls.get(request)
+                case api.CancelAttempt(request, attempt):
+                    call = self.pending.get(request)
                     out = call.attempt_timer if call and attempt == call.attempts - 1 else None
                     if out and not out.expired():  # its own timer may have fired in this very turn
                         out.reschedule(self.loop.time())
-                case api.Wake(after, token):
-                    if self.wake_timer:
-                        self.wake_timer.cancel()
-                    self.wake_timer = self.loop.call_at(self.loop.time() + after, self.tell, api.Woken(token))
-                case api.Watch():
+                case api.SetTimer(after, token):
+                    if self.policy_timer:
+                        self.policy_timer.cancel()
+                    self.policy_timer = self.loop.call_at(
+                        self.loop.time() + after, self.post, api.TimerFired(token)
+                    )
+                case api.WatchEndpoints():
                     pass  # the platform's discovery is watched from the start
 
-    async def serve(self, ask: api.Arrival, attempt: Attempt[T]) -> Served[T] | Refused | Failed:
+    async def execute(self, ask: api.RequestArrived, attempt: Attempt[T]) -> Served[T] | Rejected | Failed:
         """The life of a request, from its arrival to its one answer. Cancelled: the client has left."""
-        ask.deadline = min(ask.deadline, self.last_answer)
-        call = self.calls[ask.request] = Call(ask.deadline)
-        self.tell(ask)
+        ask.deadline = min(ask.deadline, self.response_deadline)
+        call = self.pending[ask.request_id] = PendingRequest(ask.deadline)
+        self.post(ask)
         try:
             # A client that waits for less than the margin still hears the policy's word, which comes at once.
-            limit = max(ask.deadline - ANSWER_MARGIN - self.offset, self.loop.time() + SOONEST)
+            limit = max(ask.deadline - RESPONSE_MARGIN_S - self.clock_offset_s, self.loop.time() + SOONEST)
             async with asyncio.timeout_at(limit) as call.answer_timer:
                 while True:
                     match await call.actions.get():
-                        case api.Send(_, node, until):
+                        case api.SendAttempt(_, node, until):
                             call.until = until
                             ending = await self.attempt(ask, call, node, attempt)
-                            if ending.outcome is api.Outcome.SERVED:
+                            if ending.outcome is api.AttemptOutcome.SERVED:
                                 return Served(ending.value)
-                        case api.Refuse(_, wait):
-                            return Refused(wait)
-                        case api.Fail():
+                        case api.RejectRequest(_, wait):
+                            return Rejected(wait)
+                        case api.FailRequest():
                             return Failed()
         except asyncio.CancelledError:
-            self.tell(api.Withdrawn(ask.request))
+            self.post(api.ClientCancelled(ask.request_id))
             raise
         except TimeoutError:
             # Guards against a silent policy and a loop that ran late: the client is owed an answer in time.
-            log.warning("answer_forced", request=ask.request, attempts=call.attempts)
-            self.tell(api.Withdrawn(ask.request))
-            return Failed() if call.may_have_run else Refused(self.policy.settings.retry_after)
+            log.warning("answer_forced", request=ask.request_id, attempts=call.attempts)
+            self.post(api.ClientCancelled(ask.request_id))
+            return Failed() if call.may_have_executed else Rejected(self.policy.settings.max_retry_after_s)
         finally:
-            del self.calls[ask.request]
+            del self.pending[ask.request_id]
             while not call.actions.empty():
                 # Guards the policy's count of slots: a word to send that came too late is an attempt to it.
-                if isinstance(action := call.actions.get_nowait(), api.Send):
-                    self.end(ask, call.attempts, action.node, Ending(api.Outcome.NOT_SENT), 0.0, settled=True)
+                if isinstance(action := call.actions.get_nowait(), api.SendAttempt):
+                    self.post_attempt_ended(
+                        ask,
+                        call.attempts,
+                        action.node,
+                        AttemptResult(api.AttemptOutcome.NOT_SENT),
+                        0.0,
+                        settled=True,
+                    )
 
     async def attempt(
-        self, ask: api.Arrival, call: Call, node: int, attempt: Attempt[T]
-    ) -> Ending[T]:
+        self, ask: api.RequestArrived, call: PendingRequest, node: int, attempt: Attempt[T]
+    ) -> AttemptResult[T]:
         """One attempt, until its timer ends it or the policy calls it off by the same timer. Its end is told
-        once its connection is free or closed, so that there are never two out."""
+        once its connection is free or closed, so that there are never two out.
+        """
         number, sent = call.attempts, self.now()
         call.attempts += 1
-        before, call.may_have_run = call.may_have_run, True
-        ending, settled = Ending[T](api.Outcome.CANCELLED), True  # a client that leaves takes it along
+        before, call.may_have_executed = call.may_have_executed, True
+        ending, settled = (
+            AttemptResult[T](api.AttemptOutcome.CANCELLED),
+            True,
+        )  # a client that leaves takes it along
         try:
-            async with asyncio.timeout_at(call.deadline - ATTEMPT_MARGIN - self.offset) as call.attempt_timer:
+            async with asyncio.timeout_at(
+                call.deadline - ATTEMPT_MARGIN_S - self.clock_offset_s
+            ) as call.attempt_timer:
                 ending = await attempt(node)
-            settled = ending.outcome is api.Outcome.SERVED
+            settled = ending.outcome is api.AttemptOutcome.SERVED
         except TimeoutError:
             settled = False
-            late = self.now() >= call.deadline - ATTEMPT_MARGIN
-            ending = Ending(api.Outcome.TIMEOUT if late else api.Outcome.CANCELLED)
+            late = self.now() >= call.deadline - ATTEMPT_MARGIN_S
+            ending = AttemptResult(api.AttemptOutcome.TIMEOUT if late else api.AttemptOutcome.CANCELLED)
         except Exception:
             log.exception("attempt_fault", node=node)
-            ending, settled = Ending(api.Outcome.RESET), False  # in doubt, it may have run
+            ending, settled = (
+                AttemptResult(api.AttemptOutcome.CONNECTION_RESET),
+                False,
+            )  # in doubt, it may have run
         finally:
-            call.attempt_timer, call.may_have_run = None, before or ending.outcome not in NEVER_RAN
-            self.end(ask, number, node, ending, self.now() - sent, settled)
+            call.attempt_timer, call.may_have_executed = None, before or ending.outcome not in NEVER_RAN
+            self.post_attempt_ended(ask, number, node, ending, self.now() - sent, settled)
         return ending
 
-    def end(
-        self, ask: api.Arrival, number: int, node: int, ending: Ending[T], spent: float, settled: bool
+    def post_attempt_ended(
+        self,
+        ask: api.RequestArrived,
+        number: int,
+        node: int,
+        ending: AttemptResult[T],
+        spent: float,
+        settled: bool,
     ) -> None:
-        elsewhere = ending.elsewhere
-        self.tell(api.Ended(ask.request, number, node, ending.outcome, spent, settled, elsewhere))
+        elsewhere = ending.units_elsewhere
+        self.post(api.AttemptEnded(ask.request_id, number, node, ending.outcome, spent, settled, elsewhere))
--- a/storage_gateway/policy/policy.py
+++ b/storage_gateway/policy/policy.py
@@ -12,7 +12,14 @@
 from heapq import heapify, heappop, heapreplace
 
 from storage_gateway import policy_api as api
-from storage_gateway.policy_api import Ended, ListKind, NodeState, Outcome, Repeat, Scope
+from storage_gateway.policy_api import (
+    AttemptEnded,
+    AttemptOutcome,
+    EndpointState,
+    EndpointUpdateKind,
+    IdempotencyScope,
+    Repeatability,
+)
 from storage_gateway.policy_state.records import Agenda, Demand, Node, Request, Store, Volume, forget_before
 
 INTERVAL = 1.0  # seconds between control rounds; the paper's two seconds trail a surge
@@ -29,19 +36,21 @@
 BORNE = 0.75  # of what a cold node should bear: the pace is that of short answers, and chance wants room
 FEW = 16.0  # requests that a host has to have seen lately, to go by what it usually is asked
 SPARE_MOST = 64.0  # times its start that a node's spare rate may reach: all that a volume asks
-NEVER_RAN = (Outcome.FULL, Outcome.NO_CONNECTION, Outcome.NOT_SENT)
+NEVER_RAN = (AttemptOutcome.REJECTED, AttemptOutcome.CONNECT_FAILED, AttemptOutcome.NOT_SENT)
 
 
 class Policy:
     """One host's state machine: ``step`` takes the time and the events, and returns the actions."""
 
     def __init__(self, settings: api.Settings) -> None:
-        count, self.worths = len(settings.classes), [kind.worth for kind in settings.classes]
-        self.settings, self.safety, self.hosts = settings, settings.safety, max(1, settings.hosts)
-        self.queue_aim = QUEUE_SHARE * min(kind.aim for kind in settings.classes)
-        weights = sum(plan.weight for plan in settings.plans) / count or 1.0
-        self.spare = sum(plan.rate for plan in settings.plans) / weights or 1.0  # also the least
-        self.dearest = max(self.worths) * max(plan.worth for plan in settings.plans) * settings.within_share
+        count, self.worths = len(settings.classes), [kind.priority_weight for kind in settings.classes]
+        self.settings, self.safety, self.hosts = settings, settings.safety, max(1, settings.gateway_count)
+        self.queue_aim = QUEUE_SHARE * min(kind.latency_objective_s for kind in settings.classes)
+        weights = sum(plan.excess_weight for plan in settings.plans) / count or 1.0
+        self.spare = sum(plan.expected_rate for plan in settings.plans) / weights or 1.0  # also the least
+        self.dearest = (
+            max(self.worths) * max(plan.value_factor for plan in settings.plans) * settings.excess_value
+        )
         self.ease, self.eased = 1.0, math.inf  # how the spare rate goes by all nodes' answers; when last
         self.pace = 0.0  # seconds of service a unit at any node: what a new one is taken to need
         self.requests: dict[str, Request] = {}
@@ -66,9 +75,11 @@
         self.doubtful: list[Request] = []  # if still held after this step, is there any use in waiting?
         self.interval_at = self.born = self.next_wake = math.inf
         self.now, self.random = 0.0, random.Random(settings.seed)
-        self.demand = Demand(max(settings.safety.tip_after, INTERVAL), IDLE, settings.mean or 1.0)
+        self.demand = Demand(
+            max(settings.safety.overload_window_s, INTERVAL), IDLE, settings.mean_request_units or 1.0
+        )
         self.actions: list[api.Action] = []
-        if settings.must_watch:
+        if settings.must_watch_endpoints:
             self.agenda.add(-math.inf, None)
 
     def step(self, now: float, events: list[api.Event]) -> list[api.Action]:
@@ -79,15 +90,15 @@
             self.control()
         for event in events:
             match event:
-                case api.Woken():
+                case api.TimerFired():
                     self.next_wake = math.inf
-                case api.NodeList():
+                case api.EndpointsChanged():
                     self.on_list(event)
-                case api.Arrival():
+                case api.RequestArrived():
                     self.on_arrival(event)
-                case Ended() if event.request in self.requests:
-                    self.on_ended(event, self.requests[event.request])
-                case api.Withdrawn(name) if name in self.requests:
+                case AttemptEnded() if event.request_id in self.requests:
+                    self.on_ended(event, self.requests[event.request_id])
+                case api.ClientCancelled(name) if name in self.requests:
                     self.close(self.requests[name], None)
         while self.agenda.next_at() <= now:
             self.look(self.agenda.take())
@@ -97,26 +108,38 @@
         self.doubtful = []
         if (due := self.agenda.next_at()) < self.next_wake:  # for nothing else: an idle host sleeps
             self.next_wake = due
-            self.actions.append(api.Wake(due - self.now, 0))
+            self.actions.append(api.SetTimer(due - self.now, 0))
         return self.actions
 
-    def figures(self) -> dict[str, object]:
+    def status_fields(self) -> dict[str, object]:
         """What a log should hold of the time since the last call: counts, and the state of the nodes."""
         tally, self.tally = dict(sorted(self.tally.items())), Counter()
         nodes, failing, self.failing = list(self.holder.values()), self.failing, Counter()
-        cold = sum(node.up_since > 0 and self.now - node.up_since < self.safety.ramp for node in nodes)
+        cold = sum(
+            node.started_at > 0 and self.now - node.started_at < self.safety.slow_start_window_s
+            for node in nodes
+        )
         held, out = sum(map(len, self.held.values())), sum(sum(node.out) for node in nodes)
         depth, spare = sum(node.depth for node in nodes), sum(node.spare for node in nodes)
-        return {**tally, "held": held, "out": out, "nodes": len(nodes), "cold": cold, "depth": round(depth),
-                "spare": round(spare), "ease": round(self.ease, 1),
-                "queued_ms": round(1000 * sum(node.queued for node in nodes)),
-                "on_hold": sum(node.hold_until > self.now for node in nodes),
-                "pace_ms": round(1000 * self.pace), "failing": failing.most_common(3),
-                "bounds": [round(bound, 2) for bound in self.bounds]}
+        return {
+            **tally,
+            "held": held,
+            "out": out,
+            "nodes": len(nodes),
+            "cold": cold,
+            "depth": round(depth),
+            "spare": round(spare),
+            "ease": round(self.ease, 1),
+            "queued_ms": round(1000 * sum(node.queued for node in nodes)),
+            "on_hold": sum(node.hold_until > self.now for node in nodes),
+            "pace_ms": round(1000 * self.pace),
+            "failing": failing.most_common(3),
+            "bounds": [round(bound, 2) for bound in self.bounds],
+        }
 
     def look(self, subject: Request | Node | None) -> None:
         if subject is None:
-            self.actions.append(api.Watch())
+            self.actions.append(api.WatchEndpoints())
         elif isinstance(subject, Request) and subject.out:
             self.call_off_overdue(subject)
         else:
@@ -140,7 +163,9 @@
         performance = [1.0] * len(self.bounds)
         for index, kind in enumerate(self.settings.classes):
             if self.answered[index]:
-                performance[index] = kind.aim * self.answered[index] / max(self.waited[index], 1e-6)
+                performance[index] = (
+                    kind.latency_objective_s * self.answered[index] / max(self.waited[index], 1e-6)
+                )
                 self.history[index].append((self.bounds[index] * total, performance[index]))
                 del self.history[index][: -FIT - 1]
                 if slope := fit(self.history[index]):
@@ -161,7 +186,10 @@
 
     def clean_up(self) -> None:
         """Forget what no longer matters, so that a long life does not fill the memory."""
-        oldest, idle = self.now - max(kind.aim for kind in self.settings.classes) - 1, self.now - IDLE
+        oldest, idle = (
+            self.now - max(kind.latency_objective_s for kind in self.settings.classes) - 1,
+            self.now - IDLE,
+        )
         self.volumes = {name: volume for name, volume in self.volumes.items() if volume.reserve.filled > idle}
         for volume in self.volumes.values():
             volume.due = defaultdict(float, {at: due for at, due in volume.due.items() if at >= oldest})
@@ -207,7 +235,8 @@
         """The held request worth most here; classes within their split go before idle slots are lent.
 
         What is in time and in its reserve has as many slots again. Guards reserves where a host has a slot or
-        two at a node, as in a large fleet: one long request beyond its share would bar all that is due."""
+        two at a node, as in a large fleet: one long request beyond its share would bar all that is due.
+        """
         held, taken = self.held.get(node.cell, []) + self.held.get(-1, []), sum(node.out)
         if taken >= int(node.depth):
             held = [one for one in held if self.sure(one, node)] if taken < 2 * int(node.depth) else []
@@ -228,14 +257,20 @@
 
     def queue_time(self, node: Node) -> float:
         """How long a new object would take here, by this host's own answers and backlog."""
-        answer = node.queued + node.pace * self.settings.mean
+        answer = node.queued + node.pace * self.settings.mean_request_units
         return answer * (sum(node.out) + len(self.held.get(node.cell, [])) + 1) / node.depth
 
     def worth(self, request: Request, node: Node) -> float:
         """What a unit earns when sent to this node now; the spare rate keeps volumes within their share."""
         full = still_due(request) / request.units
-        part = (full + (1 - full) * self.settings.within_share) * self.settings.plans[request.ask.plan].worth
-        return request.kind.worth * part * (1.0 if self.timely(request, node) else request.kind.late_share)
+        part = (full + (1 - full) * self.settings.excess_value) * self.settings.plans[
+            request.ask.plan_index
+        ].value_factor
+        return (
+            request.kind.priority_weight
+            * part
+            * (1.0 if self.timely(request, node) else request.kind.late_value)
+        )
 
     def timely(self, request: Request, node: Node) -> bool:
         return self.now + self.answer_time(request, node) <= request.aim_at
@@ -251,21 +286,25 @@
 
         Guards against many hosts that overfill a node with a slot each: all see its queue and come to like
         rates by weight. A new object, open to every node, has its rate at all of them together and never goes
-        late. Should also catch slow nodes. Harms a volume that uses its hosts very unevenly."""
+        late. Should also catch slow nodes. Harms a volume that uses its hosts very unevenly.
+        """
         if self.sure(request, node):
             return self.now
         new = request.cell == -1
         places = request.hosts * (len(self.holder) if new else 1)
         wanted = self.worth(request, node) > 0 and (not new or self.timely(request, node))
-        rate = self.spare_of(node) * self.settings.plans[request.ask.plan].weight / places * wanted
-        store = node.shares.setdefault(request.ask.volume, Store(rate, self.now))
+        rate = (
+            self.spare_of(node) * self.settings.plans[request.ask.plan_index].excess_weight / places * wanted
+        )
+        store = node.shares.setdefault(request.ask.volume_id, Store(rate, self.now))
         store.fill(rate, rate, self.now)
         return self.now - min(0.0, store.level) / rate if rate else math.inf
 
     def spare_of(self, node: Node) -> float:
         """A node's spare rate; one not heard of for long shares what the others' answers said meanwhile.
 
-        Guards large fleets: each host hears of each node too seldom to learn from it alone."""
+        Guards large fleets: each host hears of each node too seldom to learn from it alone.
+        """
         missed = self.ease / node.eased if self.now - node.answered > 1 else 1.0
         return clamp(node.spare * missed, min(node.spare, self.spare), self.spare * SPARE_MOST)
 
@@ -273,12 +312,12 @@
         sure = self.sure(request, node)
         if not sure:
             price = self.dearest / self.worth(request, node) / max(STEP, self.bounds[request.index])
-            node.shares[request.ask.volume].level -= request.units * price
+            node.shares[request.ask.volume_id].level -= request.units * price
         request.full = still_due(request)
         request.volume.due[int(request.arrived)] -= request.full
         if not request.sends:
             request.volume.limit.level -= request.units
-        elif self.safety.extra_window is not None:
+        elif self.safety.retry_budget_window_s is not None:
             self.extras.append(self.now)
         self.tally["sent" if sure else "sent_spare"] += 1
         if not request.borne:
@@ -288,26 +327,28 @@
         self.agenda.add(self.now + self.patience(request, node, -math.inf), request)
         request.sends += 1
         node.out[request.index] += 1
-        until = request.ran[0][0] + request.kind.memory - MARGIN if request.ran else math.inf
-        keyed = request.kind.repeat is Repeat.KEYED  # past that its repeats are no longer dropped
-        self.actions.append(api.Send(request.id, node.id, until if keyed else math.inf))
+        until = request.ran[0][0] + request.kind.idempotency_window_s - MARGIN if request.ran else math.inf
+        keyed = (
+            request.kind.repeatability is Repeatability.IDEMPOTENT_WITH_KEY
+        )  # past that its repeats are no longer dropped
+        self.actions.append(api.SendAttempt(request.id, node.id, until if keyed else math.inf))
 
     # Events
 
-    def on_arrival(self, event: api.Arrival) -> None:
+    def on_arrival(self, event: api.RequestArrived) -> None:
         self.tally["arrived"] += 1
-        if self.safety.extra_window is not None:
+        if self.safety.retry_budget_window_s is not None:
             self.taken.append(self.now)
             self.touch(-1)  # the budget has grown, so that held repeats may go
-        plan, hosts = self.settings.plans[event.plan], int(clamp(event.hosts, 1, self.hosts))
-        part = self.reserve_here(event.volume, plan.reserve, hosts)
-        ceiling = part + self.settings.largest if part else 0.0
-        volume = self.volumes.setdefault(event.volume, Volume(self.now, ceiling, self.born))
+        plan, hosts = self.settings.plans[event.plan_index], int(clamp(event.gateway_count, 1, self.hosts))
+        part = self.reserve_here(event.volume_id, plan.reserved_rate, hosts)
+        ceiling = part + self.settings.max_request_units if part else 0.0
+        volume = self.volumes.setdefault(event.volume_id, Volume(self.now, ceiling, self.born))
         volume.reserve.fill(part, ceiling, self.now)
         request = Request(event, self.settings.classes[event.class_index], hosts, volume, self.now)
         self.requests[request.id] = request
         tried, ended = self.tries.pop(request.item, (self.now, -math.inf))
-        if self.now - ended <= request.kind.aim:
+        if self.now - ended <= request.kind.latency_objective_s:
             # A repeat belongs to its first try: its aim still runs, its reserve is drawn. Guards against
             # clients that repeat hard. Harms a new request for a piece of data just after a failed one.
             request.arrived = tried
@@ -315,7 +356,7 @@
             due = min(volume.reserve.level, request.units)
             volume.reserve.level -= due
             volume.due[int(self.now)] += due
-        request.aim_at = min(request.arrived + request.kind.aim, request.deadline)
+        request.aim_at = min(request.arrived + request.kind.latency_objective_s, request.deadline)
         if request.key is not None:
             self.keys.setdefault(request.key, []).append(request)
         self.held.setdefault(request.cell, []).append(request)
@@ -325,43 +366,50 @@
     def reserve_here(self, name: int, reserve: float, hosts: int) -> float:
         """This host's part of a reserve: an even one, or more by what the other hosts leave of theirs, as the
         nodes tell. Guards against reserves unmet where a volume uses its hosts unevenly. Harms for a moment
-        where the lead changes, as two hosts then spend the same part."""
-        told = self.volumes[name].others if name in self.volumes and self.settings.tells_others else {}
+        where the lead changes, as two hosts then spend the same part.
+        """
+        told = (
+            self.volumes[name].others
+            if name in self.volumes and self.settings.nodes_report_other_usage
+            else {}
+        )
         even = reserve / hosts
         return max(even, reserve - sum(rate for rate, _ in told.values())) if told else even
 
     def hear_of_others(self, request: Request, node: Node, units: float) -> None:
         """Until more is known, the others are taken to use all of their parts."""
-        plan, told = self.settings.plans[request.ask.plan], request.volume.others
-        rate, last = told.get(node.cell, (plan.reserve * (1 - 1 / request.hosts), self.now))
+        plan, told = self.settings.plans[request.ask.plan_index], request.volume.others
+        rate, last = told.get(node.cell, (plan.reserved_rate * (1 - 1 / request.hosts), self.now))
         span = self.now - last
         if span > 0 or node.cell not in told:
             seen = 1 - math.exp(-span / OTHERS)
             told[node.cell] = rate + (seen * (units / span - rate) if span > 0 else 0.0), self.now
 
-    def on_ended(self, event: Ended, request: Request) -> None:
+    def on_ended(self, event: AttemptEnded, request: Request) -> None:
         if event.attempt not in request.out:
             return
         self.tally[event.outcome.value] += 1
         node, sent = request.out.pop(event.attempt)
         node.out[request.index] -= 1
         self.judge_node(node, event, request, sent)
-        if event.outcome is Outcome.SERVED:
-            self.hear_of_others(request, node, event.elsewhere)
+        if event.outcome is AttemptOutcome.SERVED:
+            self.hear_of_others(request, node, event.units_elsewhere)
         self.touch(node.cell)
-        if event.outcome is not Outcome.SERVED:
+        if event.outcome is not AttemptOutcome.SERVED:
             self.failing[node.id] += 1
             request.volume.due[int(request.arrived)] += request.full
             if event.outcome not in NEVER_RAN:
                 request.ran.append((sent, node))
-                self.key_rest[request.key] = self.now + self.safety.key_rest if request.kind.ordered else 0.0
-        if event.settled:
-            self.close(request, None, event.outcome is Outcome.SERVED)
+                self.key_rest[request.key] = (
+                    self.now + self.safety.key_cooldown_s if request.kind.ordered_by_key else 0.0
+                )
+        if event.request_settled:
+            self.close(request, None, event.outcome is AttemptOutcome.SERVED)
         elif not request.over and not request.out:
             self.held.setdefault(request.cell, []).append(request)
             self.touch(request.cell)
-            once = request.ran and request.kind.repeat is Repeat.ONCE
-            late = event.outcome is Outcome.CANCELLED and not self.timely(request, node)
+            once = request.ran and request.kind.repeatability is Repeatability.NON_IDEMPOTENT
+            late = event.outcome is AttemptOutcome.CANCELLED and not self.timely(request, node)
             if once or late or request.sends >= self.settings.max_attempts:
                 self.give_up(request, "once" if once else "late" if late else "attempts")
             self.doubtful.append(request)
@@ -369,31 +417,38 @@
 
     def patience(self, request: Request, node: Node, sent: float) -> float:
         """How long an attempt may be out, by its node's own record: its aim at least, or a part of that where
-        one that was sent later is answered already, as nodes take requests in turn."""
-        least = request.kind.aim * (LOST if node.latest > sent else 1.0)
+        one that was sent later is answered already, as nodes take requests in turn.
+        """
+        least = request.kind.latency_objective_s * (LOST if node.latest > sent else 1.0)
         return max(least, OVERDUE * self.answer_time(request, node))
 
     def call_off_overdue(self, request: Request) -> None:
         """An attempt past its patience gives its slot back. Guards against lost answers and hanging nodes.
         Harms where a node turns slow at once. One that must not run again fails by this: it goes only where
-        its answer seems lost, and past its aim."""
-        once = request.kind.repeat is Repeat.ONCE
-        for attempt, (node, sent) in request.out.items() if self.settings.cancel else ():
+        its answer seems lost, and past its aim.
+        """
+        once = request.kind.repeatability is Repeatability.NON_IDEMPOTENT
+        for attempt, (node, sent) in request.out.items() if self.settings.can_cancel else ():
             due = sent + self.patience(request, node, sent)
             if once:
-                due = max(due, sent + request.kind.aim) if node.latest > sent else self.now + request.kind.aim
+                due = (
+                    max(due, sent + request.kind.latency_objective_s)
+                    if node.latest > sent
+                    else self.now + request.kind.latency_objective_s
+                )
             if due <= self.now:
-                self.actions.append(api.Cancel(request.id, attempt))
+                self.actions.append(api.CancelAttempt(request.id, attempt))
             elif due < request.deadline:
                 self.agenda.add(due, request)
 
-    def judge_node(self, node: Node, event: Ended, request: Request, sent: float) -> None:
+    def judge_node(self, node: Node, event: AttemptEnded, request: Request, sent: float) -> None:
         """Bound the node's depth by its own latency: gently up while short, down at once when it fails. Where
-        one that was sent later is answered already, an answer was lost, and the node has not failed."""
-        if event.outcome is Outcome.SERVED:
+        one that was sent later is answered already, an answer was lost, and the node has not failed.
+        """
+        if event.outcome is AttemptOutcome.SERVED:
             node.latest, node.spare = max(node.latest, sent), self.spare_of(node)
             gap, node.answered, node.failures = min(1.0, self.now - node.answered), self.now, 0
-            self.tell_service_from_queue(node, event.spent, request.units, max(GAIN, gap / 2))
+            self.tell_service_from_queue(node, event.elapsed_s, request.units, max(GAIN, gap / 2))
             node.done_units += request.units
             if node.queued < self.queue_aim or node.depth <= 1:
                 change = clamp(self.queue_aim / max(node.queued, 1e-9), 0.1, 10.0)
@@ -405,12 +460,12 @@
                 node.depth = max(1.0, node.depth - 0.5 / node.depth)
             elif sum(node.out) + 1 >= int(node.depth):
                 node.depth = min(NODE_CAP, node.depth + 1 / node.depth)
-        elif event.outcome in (Outcome.FULL, Outcome.NO_CONNECTION) or (
-            event.spent >= request.kind.aim and node.latest <= sent
+        elif event.outcome in (AttemptOutcome.REJECTED, AttemptOutcome.CONNECT_FAILED) or (
+            event.elapsed_s >= request.kind.latency_objective_s and node.latest <= sent
         ):
             node.depth, node.failures = max(1.0, node.depth / 2), node.failures + 1
             if node.failures > 1:  # in a row: not a lost answer but a slow or silent node
-                waited = max(node.queued, event.spent - node.pace * request.units)
+                waited = max(node.queued, event.elapsed_s - node.pace * request.units)
                 node.queued += min(1.0, GAIN * node.failures) * (waited - node.queued)
             if event.outcome in NEVER_RAN:
                 # Guards the few attempts: dead nodes still listed, full queues. Harms after chance refusals.
@@ -418,19 +473,22 @@
 
     def tell_service_from_queue(self, node: Node, spent: float, units: float, gain: float) -> None:
         """Work goes with units: a node's short answers by units are its service, the rest its queue. Guards
-        against slow nodes and large requests taken for queues. Harms where no answer is short for long."""
+        against slow nodes and large requests taken for queues. Harms where no answer is short for long.
+        """
         pace = spent / units
         self.pace = short_mean(self.pace or pace, pace)
         node.pace = short_mean(node.pace or self.pace, pace)
         queued = max(0.0, spent - node.pace * units)
-        if units < self.settings.largest or queued < node.queued:  # the largest may be more than they count
+        if (
+            units < self.settings.max_request_units or queued < node.queued
+        ):  # the largest may be more than they count
             node.queued += gain * (queued - node.queued)
 
-    def on_list(self, event: api.NodeList) -> None:
-        if event.kind is ListKind.LOST:
-            self.agenda.add(self.now + (self.safety.ask_every or INTERVAL) / 4, None)
+    def on_list(self, event: api.EndpointsChanged) -> None:
+        if event.kind is EndpointUpdateKind.UNAVAILABLE:
+            self.agenda.add(self.now + (self.safety.endpoint_poll_interval_s or INTERVAL) / 4, None)
             return
-        if event.kind is not ListKind.CHANGES:
+        if event.kind is not EndpointUpdateKind.DELTA:
             for node in self.nodes.values():
                 node.live = False
         for entry in event.entries:
@@ -438,13 +496,13 @@
                 depth = max(1.0, NODE_CAP / self.hosts)
                 self.nodes[entry.node] = Node(entry, len(self.bounds), depth, self.queue_aim / 2, self.spare)
             node = self.nodes[entry.node]
-            node.live = entry.state is NodeState.LIVE
-            if entry.up_since > node.up_since:
-                node.up_since, node.cold = entry.up_since, Store(math.inf, self.now)
+            node.live = entry.state is EndpointState.SERVING
+            if entry.started_at > node.started_at:
+                node.started_at, node.cold = entry.started_at, Store(math.inf, self.now)
         self.holder = {}
         for node in self.nodes.values():
             rival = self.holder.get(node.cell, node)
-            if node.live and node.up_since >= rival.up_since:
+            if node.live and node.started_at >= rival.started_at:
                 self.holder[node.cell] = node
         self.touched = {node.id: node for node in self.holder.values()}
 
@@ -452,7 +510,8 @@
 
     def may_send_at(self, request: Request, node: Node) -> float:
         """The earliest time at which every rule could allow it; infinite where only an event can, or where an
-        answer would come too late for the client: such an attempt would take a slot for nothing."""
+        answer would come too late for the client: such an attempt would take a slot for nothing.
+        """
         answered = self.now + self.answer_time(request, node)
         if answered >= request.deadline - MARGIN or not self.within_group(request, node):
             return math.inf
@@ -465,51 +524,66 @@
 
     def within_group(self, request: Request, node: Node) -> bool:
         """No doubled effect: a keyed request that may have run stays where its repeats are dropped."""
-        if not request.ran or request.kind.repeat is Repeat.FREE:
+        if not request.ran or request.kind.repeatability is Repeatability.REPEATABLE:
             return True
         first, home = request.ran[0]
-        known = request.kind.repeat is Repeat.KEYED and self.now <= first + request.kind.memory - MARGIN
-        same = {Scope.ALL: True, Scope.ZONE: node.zone == home.zone, Scope.CELL: node.cell == home.cell}
-        return known and same[request.kind.scope]
+        known = (
+            request.kind.repeatability is Repeatability.IDEMPOTENT_WITH_KEY
+            and self.now <= first + request.kind.idempotency_window_s - MARGIN
+        )
+        same = {
+            IdempotencyScope.ALL: True,
+            IdempotencyScope.ZONE: node.zone == home.zone,
+            IdempotencyScope.SHARD: node.cell == home.cell,
+        }
+        return known and same[request.kind.idempotency_scope]
 
     def within_budget_at(self, request: Request) -> float:
         """Attempt budget: sends beyond each request's first, within the window."""
         safety = self.safety
-        if not request.sends or safety.extra_window is None:
+        if not request.sends or safety.retry_budget_window_s is None:
             return self.now
         for times in (self.taken, self.extras):
-            forget_before(times, self.now - safety.extra_window)
-        allowed = (safety.extra_free or 0.0) + (safety.extra_ratio or 0.0) * len(self.taken)
+            forget_before(times, self.now - safety.retry_budget_window_s)
+        allowed = (safety.retry_budget_base or 0.0) + (safety.retry_budget_ratio or 0.0) * len(self.taken)
         oldest = self.extras[0] if self.extras else math.inf
-        return self.now if len(self.extras) + 1 <= allowed else oldest + safety.extra_window
+        return self.now if len(self.extras) + 1 <= allowed else oldest + safety.retry_budget_window_s
 
     def within_limit_at(self, request: Request) -> float:
         """Limit: this host's even part of the store, empty as it starts: an earlier life may have used it."""
-        plan = self.settings.plans[request.ask.plan]
-        if not plan.limit or request.sends:
+        plan = self.settings.plans[request.ask.plan_index]
+        if not plan.rate_limit or request.sends:
             return self.now
-        store, rate = request.volume.limit, plan.limit / request.hosts
-        store.fill(rate, plan.limit_burst / request.hosts, self.now)
+        store, rate = request.volume.limit, plan.rate_limit / request.hosts
+        store.fill(rate, plan.rate_limit_burst / request.hosts, self.now)
         return self.now + max(0.0, request.units - store.level) / rate
 
     def bears(self, request: Request, node: Node) -> bool:
         """Cold nodes: each request goes or not by one draw, so that of all that the hosts are asked for a
         cold node is sent what it bears. Guards against many hosts that each save up an even part and send it
         in the same burst. This host's part is its usual rate there, as all hosts' add up to a warm node's,
-        or an even part of the stated units or of what a core serves, by all nodes' pace."""
-        safety, age, start = self.safety, self.now - node.up_since, (node.id, node.up_since)
-        if node.up_since <= 0 or age >= safety.ramp:
+        or an even part of the stated units or of what a core serves, by all nodes' pace.
+        """
+        safety, age, start = self.safety, self.now - node.started_at, (node.id, node.started_at)
+        if node.started_at <= 0 or age >= safety.slow_start_window_s:
             return True
         if start not in request.borne:
             sure = still_due(request) >= request.units
             self.demand.add(request.cell, request.units, sure, self.now)
-            share = safety.cold_from + (1 - safety.cold_from) * max(0.0, age - safety.tip_after) / safety.ramp
+            share = (
+                safety.slow_start_min_share
+                + (1 - safety.slow_start_min_share)
+                * max(0.0, age - safety.overload_window_s)
+                / safety.slow_start_window_s
+            )
             usual = max(self.usual.get(node.cell, 0.0), 1 / self.pace / self.hosts if self.pace else 0.0)
-            least = self.settings.cold_units / safety.tip_after / self.hosts
-            part = max(BORNE * usual * share * safety.tip_multiple, least)
+            least = self.settings.slow_start_units / safety.overload_window_s / self.hosts
+            part = max(BORNE * usual * share * safety.overload_multiple, least)
             due, asked = self.demand.at(request.cell, request.units, self.now)
             mine, before = (due, 0.0) if sure else (asked - due, due)
-            node.cold.fill(part, part * safety.tip_after * (0.5 + self.demand.seen(self.now) / FEW), self.now)
+            node.cold.fill(
+                part, part * safety.overload_window_s * (0.5 + self.demand.seen(self.now) / FEW), self.now
+            )
             chance = clamp((part - before) / max(mine, 1e-9), 0.0, min(1.0, node.cold.level / request.units))
             node.cold.level -= chance * request.units
             request.borne[start] = self.random.random() < chance
@@ -520,13 +594,14 @@
         """A held request is kept while it can be in time; once late it goes at once, or is given up.
 
         Guards against backlogs that outlive their worth, whatever holds them up: surges, silent, cold or
-        unlisted nodes. Harms where answers turn short again just after."""
+        unlisted nodes. Harms where answers turn short again just after.
+        """
         node, late_at = self.holder.get(request.cell), request.aim_at
         ready_at, hopeless = math.inf, request.cell != -1 or not self.holder
         if node:
             late_at -= self.answer_time(request, node)
             ready_at = max(node.hold_until, self.spare_at(request, node))
-            ready_at = ready_at if request.borne.get((node.id, node.up_since), True) else math.inf
+            ready_at = ready_at if request.borne.get((node.id, node.started_at), True) else math.inf
             hopeless = ready_at >= request.deadline or not self.within_group(request, node)
         late_at = min(late_at, request.deadline - MARGIN)
         if late_at <= self.now or hopeless:
@@ -539,10 +614,13 @@
         """What kept a request from its node longest: for the log."""
         if not node:
             return "no_node"
-        if not request.borne.get((node.id, node.up_since), True):
+        if not request.borne.get((node.id, node.started_at), True):
             return "cold"
-        waits = {"hold": node.hold_until, "spare": self.spare_at(request, node),
-                 "limit": self.within_limit_at(request)}
+        waits = {
+            "hold": node.hold_until,
+            "spare": self.spare_at(request, node),
+            "limit": self.within_limit_at(request),
+        }
         longest = max(waits, key=lambda name: waits[name])
         free = sum(node.out) < int(node.depth)
         return longest if waits[longest] > self.now else "late" if free else "depth"
@@ -550,9 +628,16 @@
     def give_up(self, request: Request, why: str, wait: float = 0.0) -> None:
         """The final answer, at once: where a repeat is harmless a refusal that says when to come back."""
         self.tally[f"given_up_{why}_{'due' if still_due(request) >= request.units else 'beyond'}"] += 1
-        safe = {Repeat.FREE: True, Repeat.KEYED: request.kind.scope is Scope.ALL, Repeat.ONCE: False}
-        refusal = api.Refuse(request.id, min(self.settings.retry_after, wait))
-        self.close(request, refusal if not request.ran or safe[request.kind.repeat] else api.Fail(request.id))
+        safe = {
+            Repeatability.REPEATABLE: True,
+            Repeatability.IDEMPOTENT_WITH_KEY: request.kind.idempotency_scope is IdempotencyScope.ALL,
+            Repeatability.NON_IDEMPOTENT: False,
+        }
+        refusal = api.RejectRequest(request.id, min(self.settings.max_retry_after_s, wait))
+        self.close(
+            request,
+            refusal if not request.ran or safe[request.kind.repeatability] else api.FailRequest(request.id),
+        )
 
     def close(self, request: Request, answer: api.Action | None, served: bool = False) -> None:
         """The request is over; what is still out for it is called off where that is allowed."""
@@ -565,10 +650,10 @@
         if request in self.held.get(request.cell, ()):
             self.held[request.cell].remove(request)
         self.actions += [answer] if answer else []
-        if not served and request.ask.item is not None:
+        if not served and request.ask.object_key is not None:
             self.tries[request.item] = request.arrived, self.now
-        if self.settings.cancel:
-            self.actions.extend(api.Cancel(request.id, attempt) for attempt in request.out)
+        if self.settings.can_cancel:
+            self.actions.extend(api.CancelAttempt(request.id, attempt) for attempt in request.out)
         self.forget(request)
 
     def forget(self, request: Request) -> None:
@@ -587,8 +672,13 @@
     return slope if slope > 0 else None
 
 
-def arbitrate(bounds: list[float], asks: list[float], performance: list[float],
-              slopes: list[float | None], worths: list[float]) -> list[float]:
+def arbitrate(
+    bounds: list[float],
+    asks: list[float],
+    performance: list[float],
+    slopes: list[float | None],
+    worths: list[float],
+) -> list[float]:
     """Asks that fit are granted and spare goes by worth; otherwise worth x (1 - performance) is evened."""
     if sum(asks) <= 1:
         spare = 1 - sum(asks)
--- a/storage_gateway/policy_api/__init__.py
+++ b/storage_gateway/policy_api/__init__.py
@@ -10,210 +10,211 @@
 from enum import Enum
 
 
-class Repeat(Enum):
+class Repeatability(Enum):
     """What a second run of a request would do."""
 
-    FREE = "free"
-    KEYED = "keyed"
-    ONCE = "once"
+    REPEATABLE = "free"
+    IDEMPOTENT_WITH_KEY = "keyed"
+    NON_IDEMPOTENT = "once"
 
 
-class Scope(Enum):
+class IdempotencyScope(Enum):
     """Which nodes discard the duplicates of a keyed request."""
 
     ALL = "all"
     ZONE = "zone"
-    CELL = "cell"
+    SHARD = "cell"
 
 
-class Outcome(Enum):
+class AttemptOutcome(Enum):
     """How an attempt ended."""
 
     SERVED = "served"
     ERROR = "error"
-    FULL = "full"
+    REJECTED = "full"
     TIMEOUT = "timeout"
-    NO_CONNECTION = "no_connection"
-    RESET = "reset"
+    CONNECT_FAILED = "no_connection"
+    CONNECTION_RESET = "reset"
     CANCELLED = "cancelled"
     NOT_SENT = "not_sent"
 
 
-class NodeState(Enum):
-    LIVE = "live"
+class EndpointState(Enum):
+    SERVING = "live"
     DRAINING = "draining"
-    GONE = "gone"
+    REMOVED = "gone"
 
 
-class ListKind(Enum):
+class EndpointUpdateKind(Enum):
     """How a node list relates to the one held: changes to it, a new one, an old copy, or no news."""
 
-    CHANGES = "changes"
-    FULL = "full"
-    OLD_COPY = "old_copy"
-    LOST = "lost"
+    DELTA = "changes"
+    SNAPSHOT = "full"
+    CACHED = "old_copy"
+    UNAVAILABLE = "lost"
 
 
 @dataclass(slots=True)
-class ClassSpec:
-    aim: float
-    worth: float
-    late_share: float
-    repeat: Repeat
-    scope: Scope
-    memory: float
-    ordered: bool
+class RequestClass:
+    latency_objective_s: float
+    priority_weight: float
+    late_value: float
+    repeatability: Repeatability
+    idempotency_scope: IdempotencyScope
+    idempotency_window_s: float
+    ordered_by_key: bool
 
 
 @dataclass(slots=True)
-class PlanSpec:
+class Plan:
     """A volume's plan; rates in units a second over all hosts, a limit of 0 means none."""
 
-    worth: float
-    rate: float
-    reserve: float
-    weight: float
-    limit: float
-    limit_burst: float
+    value_factor: float
+    expected_rate: float
+    reserved_rate: float
+    excess_weight: float
+    rate_limit: float
+    rate_limit_burst: float
 
 
 @dataclass(slots=True)
-class Safety:
+class SafetyLimits:
     """Figures of the rules; None where the deployment sets no such rule."""
 
-    cold_from: float
-    ramp: float
-    tip_multiple: float
-    tip_after: float
-    ask_every: float | None
-    key_rest: float
-    extra_free: float | None
-    extra_ratio: float | None
-    extra_window: float | None
+    slow_start_min_share: float
+    slow_start_window_s: float
+    overload_multiple: float
+    overload_window_s: float
+    endpoint_poll_interval_s: float | None
+    key_cooldown_s: float
+    retry_budget_base: float | None
+    retry_budget_ratio: float | None
+    retry_budget_window_s: float | None
 
 
 @dataclass(slots=True)
 class Settings:
-    classes: list[ClassSpec]
-    plans: list[PlanSpec]
-    safety: Safety
+    classes: list[RequestClass]
+    plans: list[Plan]
+    safety: SafetyLimits
     seed: int
-    hosts: int
-    must_watch: bool
+    gateway_count: int
+    must_watch_endpoints: bool
     max_attempts: int
-    cancel: bool
-    cold_units: float
-    largest: float
-    mean: float
-    within_share: float
-    tells_others: bool = False  # nodes say what they served a volume through other hosts
-    retry_after: float = 0.0  # longest time that clients heed; 0: they are not told when to come back
+    can_cancel: bool
+    slow_start_units: float
+    max_request_units: float
+    mean_request_units: float
+    excess_value: float
+    nodes_report_other_usage: bool = False  # nodes say what they served a volume through other hosts
+    max_retry_after_s: float = 0.0  # longest time that clients heed; 0: they are not told when to come back
 
 
 @dataclass(slots=True)
-class NodeEntry:
+class EndpointEntry:
     """A node as listed; one with a cell of -1 holds none and can take new objects only."""
 
     node: int
-    cell: int
+    shard: int
     zone: int
-    state: NodeState
-    up_since: float
+    state: EndpointState
+    started_at: float
 
 
 @dataclass(slots=True)
-class NodeList:
+class EndpointsChanged:
     """Event: news of the nodes."""
 
-    kind: ListKind
-    entries: list[NodeEntry]
+    kind: EndpointUpdateKind
+    entries: list[EndpointEntry]
 
 
 @dataclass(slots=True)
-class Arrival:
+class RequestArrived:
     """Event: a request now owed one final answer. A cell of -1 marks a new object."""
 
-    request: str
+    request_id: str
     class_index: int
-    plan: int
-    volume: int
-    item: int | None
-    cell: int
+    plan_index: int
+    volume_id: int
+    object_key: int | None
+    shard: int
     units: float
     deadline: float
-    hosts: int
+    gateway_count: int
 
 
 @dataclass(slots=True)
-class Ended:
+class AttemptEnded:
     """Event: an attempt is over; ``settled`` when its request is too. ``elsewhere``: the units that the node
-    says it has served the volume through other hosts since its last answer to this one about it."""
+    says it has served the volume through other hosts since its last answer to this one about it.
+    """
 
-    request: str
+    request_id: str
     attempt: int
     node: int
-    outcome: Outcome
-    spent: float
-    settled: bool
-    elsewhere: float = 0.0
+    outcome: AttemptOutcome
+    elapsed_s: float
+    request_settled: bool
+    units_elsewhere: float = 0.0
 
 
 @dataclass(slots=True)
-class Withdrawn:
+class ClientCancelled:
     """Event: the client has left; no answer is owed."""
 
-    request: str
+    request_id: str
 
 
 @dataclass(slots=True)
-class Woken:
+class TimerFired:
     """Event: a wake-up that was asked for."""
 
-    token: int
+    timer_id: int
 
 
-Event = NodeList | Arrival | Ended | Withdrawn | Woken
+Event = EndpointsChanged | RequestArrived | AttemptEnded | ClientCancelled | TimerFired
 
 
 @dataclass(slots=True)
-class Send:
+class SendAttempt:
     """One attempt; its first byte goes no later than ``until``, however late the connection comes up."""
 
-    request: str
+    request_id: str
     node: int
-    until: float = field(default=math.inf, repr=False, compare=False)
+    first_byte_deadline: float = field(default=math.inf, repr=False, compare=False)
 
 
 @dataclass(slots=True)
-class Refuse:
+class RejectRequest:
     """Final answer: turned away, trying again is harmless, best after ``wait`` seconds."""
 
-    request: str
-    wait: float = 0.0
+    request_id: str
+    retry_after_s: float = 0.0
 
 
 @dataclass(slots=True)
-class Fail:
+class FailRequest:
     """Final answer: failed, with no promise about its effect."""
 
-    request: str
+    request_id: str
 
 
 @dataclass(slots=True)
-class Cancel:
-    request: str
+class CancelAttempt:
+    request_id: str
     attempt: int
 
 
 @dataclass(slots=True)
-class Wake:
-    after: float
-    token: int
+class SetTimer:
+    delay_s: float
+    timer_id: int
 
 
 @dataclass(slots=True)
-class Watch:
+class WatchEndpoints:
     """Ask for the list of nodes and its changes."""
 
 
-Action = Send | Refuse | Fail | Cancel | Wake | Watch
+Action = SendAttempt | RejectRequest | FailRequest | CancelAttempt | SetTimer | WatchEndpoints
--- a/storage_gateway/policy_state/records.py
+++ b/storage_gateway/policy_state/records.py
@@ -13,14 +13,18 @@
     """A request that is owed an answer, or has attempts out."""
 
     def __init__(
-        self, event: api.Arrival, kind: api.ClassSpec, hosts: int, volume: Volume, now: float
+        self, event: api.RequestArrived, kind: api.RequestClass, hosts: int, volume: Volume, now: float
     ) -> None:
-        self.ask, self.id, self.index, self.cell = event, event.request, event.class_index, event.cell
+        self.ask, self.id, self.index, self.cell = event, event.request_id, event.class_index, event.shard
         self.hosts, self.volume = hosts, volume  # the volume and how many hosts it uses
         self.kind, self.units, self.deadline = kind, max(event.units, 1e-9), event.deadline
-        self.item = (event.volume, event.class_index, event.item)  # what a client's repeat has the same
+        self.item = (
+            event.volume_id,
+            event.class_index,
+            event.object_key,
+        )  # what a client's repeat has the same
         self.arrived, self.aim_at = now, math.inf  # of the first try that it belongs to
-        self.key = event.item if kind.ordered else None
+        self.key = event.object_key if kind.ordered_by_key else None
         self.full = 0.0  # units sent on the reserve
         self.sends, self.over = 0, False
         self.borne: dict[tuple[int, float], bool] = {}  # cold nodes, by start: drawn as one of their part
@@ -32,10 +36,10 @@
     """A listed node, as this host knows it."""
 
     def __init__(
-        self, entry: api.NodeEntry, classes: int, depth: float, queued: float, spare: float
+        self, entry: api.EndpointEntry, classes: int, depth: float, queued: float, spare: float
     ) -> None:
-        self.id, self.cell, self.zone = entry.node, entry.cell, entry.zone
-        self.up_since, self.live = 0.0, True
+        self.id, self.cell, self.zone = entry.node, entry.shard, entry.zone
+        self.started_at, self.live = 0.0, True
         self.depth, self.answered = depth, 0.0
         self.queued, self.pace = queued, 0.0  # mean wait there, and seconds of service a unit
         self.spare = spare  # units a second by weight that a volume may send beyond its reserve
@@ -81,7 +85,8 @@
     """What this host could send just now, in all and inside reserves, and each cell's part of it.
 
     A host hears of one cell too seldom to know its rate of the moment; how all of its traffic goes now, and
-    the cell's part of it over long, tell it. Who knows little yet takes all for the cell's."""
+    the cell's part of it over long, tell it. Who knows little yet takes all for the cell's.
+    """
 
     def __init__(self, recent: float, long: float, mean: float) -> None:
         self.recent, self.long, self.mean = recent, long, mean
--- a/storage_gateway/service.py
+++ b/storage_gateway/service.py
@@ -12,16 +12,17 @@
 import structlog
 
 from storage_gateway import policy_api as api
-from storage_gateway.config.reader import BadConfig, Config, read_config
-from storage_gateway.endpoints.registry import Directory
-from storage_gateway.endpoints.watch import Discovery
-from storage_gateway.http.messages import BadMessage, read_listing
-from storage_gateway.http.node_client import Boxes
-from storage_gateway.http.server import DRAIN, Front
-from storage_gateway.lifecycle import Core
-from storage_gateway.sftp.node_client import FileBoxes
-from storage_gateway.sftp.server import FileFront
-from storage_gateway.vrrp.transport import Carrier
+from storage_gateway.config import GatewayConfig, read_configuration
+from storage_gateway.endpoints.codec import read_endpoint_update
+from storage_gateway.endpoints.registry import EndpointRegistry
+from storage_gateway.endpoints.watch import DiscoveryClient
+from storage_gateway.errors import ConfigurationError, ProtocolError
+from storage_gateway.http.node_client import NodeClient
+from storage_gateway.http.server import DRAIN, HttpServer
+from storage_gateway.lifecycle import RequestExecutor
+from storage_gateway.sftp.node_client import SftpNodeClient
+from storage_gateway.sftp.server import SftpServer
+from storage_gateway.vrrp.transport import VrrpTransport
 
 FIRST_LIST = 1.0  # seconds for discovery's first word, after which the old list has to do
 LEAST_ACCEPTING = 0.75  # seconds after SIGTERM in which everything is accepted at the least
@@ -48,31 +49,38 @@
     """Seconds for which a front that leaves goes on taking requests: while the quickest class can be served.
 
     Guards the clients of a front that is not back before it is ended: none else serves them meanwhile. What
-    comes of a slower class has its answer by ``last`` all the same."""
+    comes of a slower class has its answer by ``last`` all the same.
+    """
     return max(LEAST_ACCEPTING, last - ANSWERS * min(aims))
 
 
 class FileService:
     """The front for file commands, where it is on; with VRRP it is open while this instance is master."""
 
-    def __init__(self, front: FileFront | None = None, carrier: Carrier | None = None) -> None:
+    def __init__(self, front: SftpServer | None = None, carrier: VrrpTransport | None = None) -> None:
         self.front, self.carrier = front, carrier
 
     @classmethod
-    async def start(cls, config: Config, core: Core, directory: Directory) -> FileService:
+    async def start(
+        cls, config: GatewayConfig, executor: RequestExecutor, registry: EndpointRegistry
+    ) -> FileService:
         if config.sftp is None:
             return cls()
-        sessions = config.shares.sessions
-        boxes = FileBoxes(directory, config.sftp.box_port, config.dial_timeout, config.idle_close, sessions)
-        front = FileFront(config.sftp, core, boxes, sessions)
+        sessions = config.connection_budget.sftp_sessions
+        boxes = SftpNodeClient(
+            registry, config.sftp.node_port, config.connect_timeout_s, config.idle_close_s, sessions
+        )
+        front = SftpServer(config.sftp, executor, boxes, sessions)
         if config.vrrp is None:
             await front.open()
             return cls(front)
 
         async def changed(master: bool) -> None:
-            await (front.open() if master else front.close(config.sftp.deadline if config.sftp else 0.0))
+            await (
+                front.open() if master else front.close(config.sftp.command_timeout_s if config.sftp else 0.0)
+            )
 
-        carrier = Carrier(config.vrrp, changed)
+        carrier = VrrpTransport(config.vrrp, changed)
         await carrier.start()
         return cls(front, carrier)
 
@@ -84,35 +92,39 @@
             self.front.boxes.close()
 
 
-async def run(config: Config) -> None:
+async def run(config: GatewayConfig) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    core, directory = Core(config.settings), Directory(config.zones)
-    boxes = Boxes(directory, config.dial_timeout, config.idle_close, config.shares.boxes)
-    callers = config.settings.hosts if config.settings.must_watch else 1  # of one discovery, no agent of ours
-    discovery = Discovery(config.discovery, directory, core.tell, callers, config.seed)
-    if config.known:
+    executor, registry = RequestExecutor(config.settings), EndpointRegistry(config.zone_indexes)
+    boxes = NodeClient(
+        registry, config.connect_timeout_s, config.idle_close_s, config.connection_budget.node_connections
+    )
+    callers = (
+        config.settings.gateway_count if config.settings.must_watch_endpoints else 1
+    )  # of one discovery, no agent of ours
+    discovery = DiscoveryClient(config.discovery, registry, executor.post, callers, config.seed)
+    if config.known_endpoints:
         try:
-            discovery.take(read_listing(config.known), api.ListKind.OLD_COPY)
-        except BadMessage as error:
+            discovery.take(read_endpoint_update(config.known_endpoints), api.EndpointUpdateKind.CACHED)
+        except ProtocolError as error:
             log.warning("known_list_skipped", why=str(error))
     began = loop.time()
 
     def ready() -> bool:
         """The list is known: by discovery's word or, where that comes in turn, by the old copy."""
-        turn = callers > 1 and bool(directory.boxes)
+        turn = callers > 1 and bool(registry.endpoints)
         return turn or discovery.heard.is_set() or loop.time() - began > FIRST_LIST
 
-    front = Front(config, core, boxes, ready)
+    front = HttpServer(config, executor, boxes, ready)
     discovery.start()
 
     def reload() -> None:
         """SIGHUP: the file is read again, and kept out as a whole where it has a fault."""
         try:
-            moved, waiting = config.reload(read_config(os.environ))
-        except BadConfig as error:
+            moved, waiting = config.reload(read_configuration(os.environ))
+        except ConfigurationError as error:
             log.error("reload_failed", why=str(error))
             return
         log.info("reloaded", discovery=config.discovery, moved=moved, next_start=waiting)
@@ -122,24 +134,31 @@
     loop.add_signal_handler(signal.SIGHUP, reload)
     try:
         front.listen()
-        files = await FileService.start(config, core, directory)
+        files = await FileService.start(config, executor, registry)
     except OSError as error:
-        raise BadConfig(f"listen: {error}") from error
-    core.reports += [boxes.figures, discovery.figures, front.figures]
-    core.watch_self()
+        raise ConfigurationError("listen", f"{error}") from error
+    executor.status_sources += [boxes.status_fields, discovery.status_fields, front.status_fields]
+    executor.start_status_log()
     gc.collect()
     gc.freeze()  # what the start made stays; later collections pass over it
     log.info(
-        "ready", name=config.name, listen=front.address, nodes=len(directory.boxes), callers=callers,
-        hosts=config.settings.hosts, aims=[kind.aim for kind in config.settings.classes],
-        safety=config.settings.safety, cold_units=config.settings.cold_units, spare=core.policy.spare,
-        retry_after=config.settings.retry_after,
-    )  # fmt: skip
+        "ready",
+        name=config.name,
+        listen=front.address,
+        nodes=len(registry.endpoints),
+        callers=callers,
+        gateway_count=config.settings.gateway_count,
+        latency_objectives_s=[kind.latency_objective_s for kind in config.settings.classes],
+        safety=config.settings.safety,
+        slow_start_units=config.settings.slow_start_units,
+        spare=executor.policy.spare,
+        max_retry_after_s=config.settings.max_retry_after_s,
+    )
     await stop.wait()
-    log.info("leaving", open=len(core.calls))
+    log.info("leaving", open=len(executor.pending))
     last = config.notice() - EXIT
-    core.drain(last - DRAIN)
-    accepting = accepting_time(last, [kind.aim for kind in config.settings.classes])
+    executor.begin_shutdown(last - DRAIN)
+    accepting = accepting_time(last, [kind.latency_objective_s for kind in config.settings.classes])
 
     async def close_files() -> None:
         await asyncio.sleep(LEAST_ACCEPTING)
@@ -153,7 +172,7 @@
         async with asyncio.timeout(last):
             await asyncio.gather(close_front(), close_files())
     except TimeoutError:
-        log.warning("left_unanswered", open=len(core.calls))
+        log.warning("left_unanswered", open=len(executor.pending))
     discovery.stop()
     boxes.close()
     log.info("left")
@@ -163,9 +182,8 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the loop handles it, it would end the process
     set_up_log()
     try:
-        asyncio.run(run(read_config(os.environ)))
-    except BadConfig as error:
+        asyncio.run(run(read_configuration(os.environ)))
+    except ConfigurationError as error:
         print(f"storage_gateway: {error}", file=sys.stderr)
         return 2
     return 0
-
--- a/storage_gateway/sftp/node_client.py
+++ b/storage_gateway/sftp/node_client.py
@@ -6,13 +6,13 @@
 from collections import defaultdict
 from dataclasses import dataclass, replace
 
-from storage_gateway.endpoints.registry import Directory
-from storage_gateway.lifecycle import Ending
-from storage_gateway.policy_api import Outcome
+from storage_gateway.endpoints.registry import EndpointRegistry
+from storage_gateway.errors import EndpointNotServingError, NotSentError, PacketError
+from storage_gateway.lifecycle import AttemptResult
+from storage_gateway.policy_api import AttemptOutcome
 from storage_gateway.sftp.packets import (
     VERSION,
     Attrs,
-    BadPacket,
     Close,
     Code,
     Data,
@@ -73,15 +73,7 @@
 Command = ReadRange | List | Upload | Simple
 
 
-class NeverBegun(Exception):
-    """The connection failed before any byte of the command was written."""
-
-
-class NotServing(Exception):
-    """The box began to drain, or went, before the command was written."""
-
-
-class Line:
+class SftpConnection:
     """A connection to a box; it carries one command at a time."""
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -102,7 +94,7 @@
     async def receive(self, request: int) -> Packet:
         reply = decode(await read_packet(self.reader))
         if reply.id != request and not isinstance(reply, Version):
-            raise BadPacket(f"an answer to {reply.id}, want one to {request}")
+            raise PacketError(f"an answer to {reply.id}, want one to {request}")
         return reply
 
     def usable(self) -> bool:
@@ -112,16 +104,21 @@
         self.writer.transport.abort()
 
 
-class FileBoxes:
+class SftpNodeClient:
     """Connections to the boxes of the directory."""
 
     def __init__(
-        self, directory: Directory, port: int, dial_timeout: float, idle_close: float, most_idle: int
+        self,
+        registry: EndpointRegistry,
+        port: int,
+        connect_timeout_s: float,
+        idle_close_s: float,
+        most_idle: int,
     ) -> None:
-        self.directory, self.port, self.most_idle = directory, port, most_idle
-        self.dial_timeout, self.keep = dial_timeout, idle_close * IDLE_SHARE
-        self.idle: defaultdict[int, list[Line]] = defaultdict(list)
-        directory.watchers.append(self.drop)
+        self.registry, self.port, self.most_idle = registry, port, most_idle
+        self.connect_timeout_s, self.keep = connect_timeout_s, idle_close_s * IDLE_SHARE
+        self.idle: defaultdict[int, list[SftpConnection]] = defaultdict(list)
+        registry.listeners.append(self.drop)
 
     def drop(self, node: int) -> None:
         """The box drains, went or started anew."""
@@ -132,35 +129,38 @@
         for node in list(self.idle):
             self.drop(node)
 
-    async def attempt(self, node: int, command: Command) -> Ending[Packet]:
+    async def attempt(self, node: int, command: Command) -> AttemptResult[Packet]:
         """One conversation; once a byte of the command may be written, a break may mean that it ran."""
         line, began, done = None, False, False
         try:
             line = await self.connect(node, fresh=isinstance(command, Upload) or changes(command))
-            if not self.directory.serves(node):  # discovery may have spoken while the connection came up
-                raise NotServing
+            if not self.registry.is_serving(node):  # discovery may have spoken while the connection came up
+                raise EndpointNotServingError
             began = True
             reply = await converse(line, command)
             done = True
-        except NotServing:
-            return Ending(Outcome.NOT_SENT)
-        except NeverBegun:
-            return Ending(Outcome.NO_CONNECTION)
+        except EndpointNotServingError:
+            return AttemptResult(AttemptOutcome.NOT_SENT)
+        except NotSentError:
+            return AttemptResult(AttemptOutcome.CONNECT_FAILED)
         except (OSError, EOFError, ValueError):
-            return Ending(Outcome.RESET if began else Outcome.NO_CONNECTION)
+            return AttemptResult(AttemptOutcome.CONNECTION_RESET if began else AttemptOutcome.CONNECT_FAILED)
         finally:
             if line and not (done and self.put_back(node, line)):
                 line.abort()  # nothing of a given-up attempt stays open while the next goes out
         if isinstance(reply, Status) and reply.code == Code.SSH_FX_FAILURE:
-            return Ending(Outcome.ERROR)
-        return Ending(Outcome.SERVED, reply)  # any other status is the box's answer, and it is the client's
+            return AttemptResult(AttemptOutcome.ERROR)
+        return AttemptResult(
+            AttemptOutcome.SERVED, reply
+        )  # any other status is the box's answer, and it is the client's
 
-    async def connect(self, node: int, fresh: bool) -> Line:
+    async def connect(self, node: int, fresh: bool) -> SftpConnection:
         """A connection that has said its version. A change has a fresh one: on one that was idle, a break
-        could not be told from a break after the box had stored the change."""
-        box = self.directory.boxes.get(node)
-        if box is None or not self.directory.serves(node):
-            raise NotServing
+        could not be told from a break after the box had stored the change.
+        """
+        box = self.registry.endpoints.get(node)
+        if box is None or not self.registry.is_serving(node):
+            raise EndpointNotServingError
         now = asyncio.get_running_loop().time()
         while not fresh and self.idle[node]:
             line = self.idle[node].pop()
@@ -169,26 +169,26 @@
             line.abort()
         writer = None
         try:
-            async with asyncio.timeout(self.dial_timeout):
+            async with asyncio.timeout(self.connect_timeout_s):
                 reader, writer = await asyncio.open_connection(
                     box.address.host, self.port or box.address.port
                 )
-                line = Line(reader, writer)
+                line = SftpConnection(reader, writer)
                 reply = await line.ask(Init(VERSION))
                 if not isinstance(reply, Version) or reply.id != VERSION:
-                    raise BadPacket("no version 3")
+                    raise PacketError("no version 3")
                 return line
         except (OSError, EOFError, ValueError, TimeoutError) as error:
             if writer:
                 writer.transport.abort()
-            raise NeverBegun from error
+            raise NotSentError from error
         except asyncio.CancelledError:
             if writer:
                 writer.transport.abort()
             raise
 
-    def put_back(self, node: int, line: Line) -> bool:
-        if not line.usable() or not self.directory.serves(node) or len(self.idle[node]) >= MOST_IDLE:
+    def put_back(self, node: int, line: SftpConnection) -> bool:
+        if not line.usable() or not self.registry.is_serving(node) or len(self.idle[node]) >= MOST_IDLE:
             return False
         if sum(map(len, self.idle.values())) >= self.most_idle:  # the descriptors are dealt out for no more
             return False
@@ -201,7 +201,7 @@
     return isinstance(command, Upload) or (isinstance(command, Simple) and command.changes)
 
 
-async def converse(line: Line, command: Command) -> Packet:
+async def converse(line: SftpConnection, command: Command) -> Packet:
     """The whole command, top to bottom; returns the reply that decides."""
     match command:
         case Simple(packet, _):
@@ -221,7 +221,7 @@
             while isinstance(found := await line.ask(Readdir(0, opened.handle)), Names) and found.names:
                 names += found.names
                 if len(names) > MOST_NAMES:
-                    raise BadPacket("too long a listing")
+                    raise PacketError("too long a listing")
             await line.ask(Close(0, opened.handle))
             ended = isinstance(found, Names) or (isinstance(found, Status) and found.code == Code.SSH_FX_EOF)
             return Names(0, names) if ended else found
@@ -241,4 +241,4 @@
 
 
 def unexpected(packet: Packet) -> Packet:
-    raise BadPacket(f"an answer of type {packet.type}")
+    raise PacketError(f"an answer of type {packet.type}")
--- a/storage_gateway/sftp/packets.py
+++ b/storage_gateway/sftp/packets.py
@@ -8,6 +8,8 @@
 from enum import IntEnum, IntFlag
 from typing import Any, ClassVar
 
+from storage_gateway.errors import PacketError
+
 VERSION = 3
 MOST_PACKET = 66 * 1024  # bytes after the length; the draft asks for 34,000 at least
 
@@ -38,14 +40,6 @@
     EXCL = 32
 
 
-class BadPacket(ValueError):
-    """Bytes that are no packet; ``request`` is its id where that could be read."""
-
-    def __init__(self, why: str, request: int | None = None) -> None:
-        super().__init__(why)
-        self.request = request
-
-
 @dataclass(slots=True)
 class Attrs:
     """File attributes; None where they are not stated."""
@@ -267,7 +261,7 @@
 
     def take(self, size: int) -> bytes:
         if self.at + size > len(self.raw):
-            raise BadPacket("the packet ends within a field")
+            raise PacketError("the packet ends within a field")
         self.at += size
         return self.raw[self.at - size : self.at]
 
@@ -307,7 +301,7 @@
         """A count of entries; one that the rest cannot hold is refused before any is made."""
         count = self.u32()
         if count * least > len(self.raw) - self.at:
-            raise BadPacket("a count beyond the packet's end")
+            raise PacketError("a count beyond the packet's end")
         return count
 
 
@@ -321,10 +315,10 @@
         if known is None:
             return Unsupported(request)
         made = known(request, *[getattr(source, field)() for field in known.layout])
-    except BadPacket as error:
-        raise BadPacket(str(error), request) from error
+    except PacketError as error:
+        raise PacketError(str(error), request) from error
     if source.at != len(raw):
-        raise BadPacket("bytes after the last field", request)
+        raise PacketError("bytes after the last field", request)
     return made
 
 
@@ -386,7 +380,7 @@
     """The next packet's length; asyncio.IncompleteReadError where the peer has closed."""
     size = int.from_bytes(await reader.readexactly(4), "big")
     if not 5 <= size <= MOST_PACKET:
-        raise BadPacket(f"a packet of {size} bytes")
+        raise PacketError(f"a packet of {size} bytes")
     return size
 
 
--- a/storage_gateway/sftp/server.py
+++ b/storage_gateway/sftp/server.py
@@ -11,14 +11,14 @@
 import structlog
 
 from storage_gateway import policy_api as api
-from storage_gateway.config.reader import SftpFront, VolumePath
-from storage_gateway.lifecycle import Core, Refused, Served
-from storage_gateway.sftp.node_client import Command, FileBoxes, List, ReadRange, Simple, Upload, changes
+from storage_gateway.config import SftpConfig, VolumePath
+from storage_gateway.errors import PacketError
+from storage_gateway.lifecycle import Rejected, RequestExecutor, Served
+from storage_gateway.sftp.node_client import Command, List, ReadRange, SftpNodeClient, Simple, Upload, changes
 from storage_gateway.sftp.packets import (
     VERSION,
     Attrs,
     AttrsReply,
-    BadPacket,
     Close,
     Code,
     Flags,
@@ -88,11 +88,13 @@
         self.code, self.message = code, message
 
 
-class FileFront:
+class SftpServer:
     """The listener. ``open`` and ``close`` it as often as mastership comes and goes."""
 
-    def __init__(self, config: SftpFront, core: Core, boxes: FileBoxes, most_sessions: int) -> None:
-        self.config, self.core, self.boxes, self.most_sessions = config, core, boxes, most_sessions
+    def __init__(
+        self, config: SftpConfig, executor: RequestExecutor, boxes: SftpNodeClient, most_sessions: int
+    ) -> None:
+        self.config, self.executor, self.boxes, self.most_sessions = config, executor, boxes, most_sessions
         self.sessions: set[Session] = set()
         self.listener: asyncio.Server | None = None
 
@@ -150,24 +152,24 @@
 
     async def schedule(self, path: str, item: str, size: int, command: Command) -> Packet:
         """One request through the core: as a read or a write of its volume, by its size in units."""
-        volume, settings = self.volume(path), self.core.policy.settings
+        volume, settings = self.volume(path), self.executor.policy.settings
         units = max(1, -(-size // self.config.unit_bytes))
-        deadline = self.core.now() + self.config.deadline
-        arrival = api.Arrival(
-            request=self.core.new_id(),
+        deadline = self.executor.now() + self.config.command_timeout_s
+        arrival = api.RequestArrived(
+            request_id=self.executor.new_request_id(),
             class_index=self.config.write_class if changes(command) else self.config.read_class,
-            plan=volume.plan,
-            volume=volume.volume,
-            item=number(item),
-            cell=volume.cell,
-            units=min(float(units), settings.largest or float(units)),
+            plan_index=volume.plan_index,
+            volume_id=volume.volume_id,
+            object_key=number(item),
+            shard=volume.shard,
+            units=min(float(units), settings.max_request_units or float(units)),
             deadline=deadline,
-            hosts=volume.hosts,
+            gateway_count=volume.gateway_count,
         )
-        match await self.core.serve(arrival, lambda node: self.boxes.attempt(node, command)):
+        match await self.executor.execute(arrival, lambda node: self.boxes.attempt(node, command)):
             case Served(reply) if reply is not None:
                 return reply
-            case Refused(wait):
+            case Rejected(wait):
                 again = f"try again after {max(0.0, wait):.3f} s"
                 raise Denied(Code.SSH_FX_FAILURE, f"refused, nothing was done: {again}")
             case _:
@@ -178,9 +180,7 @@
 class Session:
     """One client's connection. Its commands are answered in turn; while one waits, a close is noticed."""
 
-    def __init__(
-        self, front: FileFront, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
+    def __init__(self, front: SftpServer, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.front, self.reader, self.writer = front, reader, writer
         self.handles: dict[bytes, Reading | Writing | Listed] = {}
         self.numbered = 0
@@ -207,7 +207,7 @@
         """Queue packets until the client closes (False) or sends what is none (True)."""
         while True:
             try:
-                async with asyncio.timeout(self.front.config.idle):
+                async with asyncio.timeout(self.front.config.idle_timeout_s):
                     size = await read_size(self.reader)
                 async with asyncio.timeout(STALL):
                     raw = await self.reader.readexactly(size)
@@ -217,7 +217,7 @@
                 return False
             except (EOFError, OSError):
                 return False
-            except BadPacket as error:
+            except PacketError as error:
                 log.warning("sftp_bad_stream", why=str(error))
                 return True
 
@@ -246,8 +246,8 @@
     async def answer(self, raw: bytes, first: bool) -> Packet:
         try:
             packet = decode(raw)
-        except BadPacket as error:
-            return Status(error.request or 0, Code.SSH_FX_BAD_MESSAGE, str(error))
+        except PacketError as error:
+            return Status(error.request_id or 0, Code.SSH_FX_BAD_MESSAGE, str(error))
         if isinstance(packet, Init) != first:
             return Status(0, Code.SSH_FX_BAD_MESSAGE, "INIT comes first, and once")
         if isinstance(packet, Init):
@@ -271,7 +271,7 @@
                 return await self.open(absolute(path), flags, attrs)
             case Read(_, handle, offset, length):
                 path = self.handle(handle, Reading).path
-                length = min(length, front.config.most_upload)
+                length = min(length, front.config.max_upload_bytes)
                 command = ReadRange(path, offset, length)
                 return await front.schedule(path, f"{path}@{offset}", length, command)
             case Write(_, handle, offset, data):
@@ -329,7 +329,7 @@
         return self.hold(Reading(path)) if isinstance(found, AttrsReply) else found
 
     def gather(self, held: Writing, offset: int, data: bytes) -> Packet:
-        most = self.front.config.most_upload
+        most = self.front.config.max_upload_bytes
         if held.size + len(data) > most:
             held.spoilt = True
             raise Denied(Code.SSH_FX_FAILURE, f"an upload holds at most {most} bytes")
@@ -348,7 +348,7 @@
         return await self.front.schedule(held.path, held.path, held.size, command)
 
     def room(self) -> None:
-        if len(self.handles) >= self.front.config.most_handles:
+        if len(self.handles) >= self.front.config.max_handles:
             raise Denied(Code.SSH_FX_FAILURE, "too many open handles")
 
     def hold(self, held: Reading | Writing | Listed) -> Handle:
--- a/storage_gateway/simulator_adapter.py
+++ b/storage_gateway/simulator_adapter.py
@@ -7,91 +7,94 @@
 from typing import Any, TextIO
 
 from storage_gateway import policy_api as api
-from storage_gateway.config.reader import read_settings
+from storage_gateway.config import read_settings
+from storage_gateway.errors import WireFormatError
 from storage_gateway.policy.policy import Policy
 
 OUTCOMES = {
-    "completed": api.Outcome.SERVED,
-    "errored": api.Outcome.ERROR,
-    "saturated": api.Outcome.FULL,
-    "overdue": api.Outcome.TIMEOUT,
-    "refused_conn": api.Outcome.NO_CONNECTION,
-    "severed": api.Outcome.RESET,
-    "recalled": api.Outcome.CANCELLED,
-    "superseded": api.Outcome.NOT_SENT,
+    "completed": api.AttemptOutcome.SERVED,
+    "errored": api.AttemptOutcome.ERROR,
+    "saturated": api.AttemptOutcome.REJECTED,
+    "overdue": api.AttemptOutcome.TIMEOUT,
+    "refused_conn": api.AttemptOutcome.CONNECT_FAILED,
+    "severed": api.AttemptOutcome.CONNECTION_RESET,
+    "recalled": api.AttemptOutcome.CANCELLED,
+    "superseded": api.AttemptOutcome.NOT_SENT,
+}
+STATES = {
+    "live": api.EndpointState.SERVING,
+    "quiescing": api.EndpointState.DRAINING,
+    "dead": api.EndpointState.REMOVED,
 }
-STATES = {"live": api.NodeState.LIVE, "quiescing": api.NodeState.DRAINING, "dead": api.NodeState.GONE}
 KINDS = {
-    "incr": api.ListKind.CHANGES,
-    "total": api.ListKind.FULL,
-    "warm_copy": api.ListKind.OLD_COPY,
-    "lost": api.ListKind.LOST,
+    "incr": api.EndpointUpdateKind.DELTA,
+    "total": api.EndpointUpdateKind.SNAPSHOT,
+    "warm_copy": api.EndpointUpdateKind.CACHED,
+    "lost": api.EndpointUpdateKind.UNAVAILABLE,
 }
 UNUSED = {"FIRST", "HEALTH", "MAIL"}  # a begun stream is the client's; the others answer what is never asked
 
 
-class Malformed(Exception):
-    """A line that is not a batch of the wire."""
-
-
-def read_entry(entry: dict[str, Any]) -> api.NodeEntry:
+def read_entry(entry: dict[str, Any]) -> api.EndpointEntry:
     cell = entry.get("Pack")
-    return api.NodeEntry(
+    return api.EndpointEntry(
         node=entry["Shelf"],
-        cell=-1 if cell is None else cell,
+        shard=-1 if cell is None else cell,
         zone=entry.get("Area") or 0,
         state=STATES[entry["StageState"]],
-        up_since=entry.get("UpSinceS") or 0.0,
+        started_at=entry.get("UpSinceS") or 0.0,
     )
 
 
-def read_event(kind: str, event: dict[str, Any], lists: dict[int, list[api.NodeEntry]]) -> api.Event:
+def read_event(kind: str, event: dict[str, Any], lists: dict[int, list[api.EndpointEntry]]) -> api.Event:
     """Translate one event of a living instance."""
     if kind == "REQ":
-        return api.Arrival(
-            request=event["Req"],
+        return api.RequestArrived(
+            request_id=event["Req"],
             class_index=event["Profile"],
-            plan=event["Contract"],
-            volume=event["StoreUser"],
-            item=event.get("Item"),
-            cell=int(event["Placement"]),
+            plan_index=event["Contract"],
+            volume_id=event["StoreUser"],
+            object_key=event.get("Item"),
+            shard=int(event["Placement"]),
             units=event.get("CostUnits") or 0.0,
             deadline=event["DeadlineS"],
-            hosts=int(event.get("NHosts") or 0),
+            gateway_count=int(event.get("NHosts") or 0),
         )
     if kind == "FINISHED":
-        return api.Ended(
-            request=event["Req"],
+        return api.AttemptEnded(
+            request_id=event["Req"],
             attempt=event["Shot"],
             node=event["Shelf"],
             outcome=OUTCOMES[event["Disposition"]],
-            spent=event["SpentS"],
-            settled=bool(event.get("Settled")),
-            elsewhere=float(event.get("OthersGot") or 0.0),
+            elapsed_s=event["SpentS"],
+            request_settled=bool(event.get("Settled")),
+            units_elsewhere=float(event.get("OthersGot") or 0.0),
         )
     if kind == "BELL":
-        return api.Woken(event["Ref"])
+        return api.TimerFired(event["Ref"])
     if kind == "ROSTER_CHANGE":
         mode = KINDS[event["Mode"]]
-        return api.NodeList(mode, [] if mode is api.ListKind.LOST else lists[event["Slot"]])
+        return api.EndpointsChanged(
+            mode, [] if mode is api.EndpointUpdateKind.UNAVAILABLE else lists[event["Slot"]]
+        )
     if kind == "ABORTED":
-        return api.Withdrawn(event["Req"])
-    raise Malformed(f"unknown event type {kind!r}")
+        return api.ClientCancelled(event["Req"])
+    raise WireFormatError(f"unknown event type {kind!r}")
 
 
 def write_action(head: int, action: api.Action) -> dict[str, Any]:
     match action:
-        case api.Send(request, node):
+        case api.SendAttempt(request, node):
             return {"type": "ROUTE", "Head": head, "Req": request, "Shelf": node}
-        case api.Refuse(request, wait):
+        case api.RejectRequest(request, wait):
             return {"type": "SAY_NO", "Head": head, "Req": request, "WaitS": wait}
-        case api.Fail(request):
+        case api.FailRequest(request):
             return {"type": "SURRENDER", "Head": head, "Req": request}
-        case api.Cancel(request, attempt):
+        case api.CancelAttempt(request, attempt):
             return {"type": "DROP_ATTEMPT", "Head": head, "Req": request, "Shot": attempt}
-        case api.Wake(after, token):
+        case api.SetTimer(after, token):
             return {"type": "TIMER", "Head": head, "AfterS": after, "Ref": token}
-        case api.Watch():
+        case api.WatchEndpoints():
             return {"type": "WATCH", "Head": head, "On": True}
 
 
@@ -100,7 +103,7 @@
 
     def __init__(self) -> None:
         self.policies: dict[int, Policy] = {}
-        self.lists: dict[int, list[api.NodeEntry]] = {}
+        self.lists: dict[int, list[api.EndpointEntry]] = {}
 
     def reply(self, line: str) -> dict[str, Any]:
         """Answer one batch."""
@@ -112,7 +115,7 @@
             for event in news:
                 self.read(event, pending)
         except (KeyError, TypeError, ValueError, IndexError, AttributeError) as error:
-            raise Malformed(f"malformed batch: {type(error).__name__}: {error}") from error
+            raise WireFormatError(f"malformed batch: {type(error).__name__}: {error}") from error
         for head, events in pending.items():
             self.run(head, now, events, steps)
         return {"round": number, "steps": steps}
@@ -158,7 +161,7 @@
 def main() -> int:
     try:
         serve(sys.stdin, sys.stdout)
-    except Malformed as error:
+    except WireFormatError as error:
         print(f"simhost: {error}", file=sys.stderr)
         return 2
     return 0
--- a/storage_gateway/vrrp/transport.py
+++ b/storage_gateway/vrrp/transport.py
@@ -1,7 +1,8 @@
 """VRRP version 3 (RFC 5798): the state machine, without a clock or a wire, and its carrier over UDP.
 
 The carrier stands in for IP protocol 112: peers are named instead of a multicast group, so there is no check
-of the TTL, and the checksum covers the VRRP message alone (UDP's own covers the addresses)."""
+of the TTL, and the checksum covers the VRRP message alone (UDP's own covers the addresses).
+"""
 
 from __future__ import annotations
 
@@ -15,15 +16,12 @@
 
 import structlog
 
-from storage_gateway.config.reader import Address, VrrpPeers
+from storage_gateway.config import Address, VrrpConfig
+from storage_gateway.errors import AdvertisementError
 
 log = structlog.get_logger()
 
 
-class BadAdvertisement(ValueError):
-    """A datagram that is no advertisement for this router."""
-
-
 class State(Enum):
     INITIALIZE = "initialize"
     BACKUP = "backup"
@@ -55,23 +53,24 @@
 
 def decode(message: bytes) -> Advertisement:
     if len(message) < 12 or len(message) % 4:
-        raise BadAdvertisement(f"{len(message)} bytes")
+        raise AdvertisementError(f"{len(message)} bytes")
     kind, router, priority, count, interval = struct.unpack(">BBBBH", message[:6])
     if kind != 0x31:
-        raise BadAdvertisement(f"version and type {kind:#x}")
+        raise AdvertisementError(f"version and type {kind:#x}")
     if checksum(message):
-        raise BadAdvertisement("checksum")
+        raise AdvertisementError("checksum")
     size, odd = divmod(len(message) - 8, count) if count else (0, 1)
     if odd or size not in (4, 16):
-        raise BadAdvertisement(f"{count} addresses")
+        raise AdvertisementError(f"{count} addresses")
     parts = [message[start : start + size] for start in range(8, len(message), size)]
     addresses = tuple(str(ipaddress.ip_address(part)) for part in parts)
     return Advertisement(router, priority, (interval & 0xFFF) / 100, addresses)
 
 
-class Router:
+class VirtualRouter:
     """A virtual router's state machine (RFC 5798, 6.4). Each event returns the priorities to advertise now;
-    ``due`` is when ``timer`` wants to be called next."""
+    ``due`` is when ``timer`` wants to be called next.
+    """
 
     def __init__(self, priority: int, interval: float, preempt: bool, address: str) -> None:
         self.priority, self.interval, self.preempt = priority, interval, preempt
@@ -125,12 +124,12 @@
         self.due = now + self.master_down
 
 
-class Carrier(asyncio.DatagramProtocol):
+class VrrpTransport(asyncio.DatagramProtocol):
     """A router on UDP. ``changed`` hears, in their order, of each gain (True) and loss of mastership."""
 
-    def __init__(self, config: VrrpPeers, changed: Callable[[bool], Awaitable[None]]) -> None:
+    def __init__(self, config: VrrpConfig, changed: Callable[[bool], Awaitable[None]]) -> None:
         self.config, self.changed, self.loop = config, changed, asyncio.get_running_loop()
-        self.router = Router(config.priority, config.interval, config.preempt, config.listen.host)
+        self.router = VirtualRouter(config.priority, config.interval, config.preempt, config.listen.host)
         self.transport: asyncio.DatagramTransport | None = None
         self.clock: asyncio.TimerHandle | None = None
         self.news: asyncio.Queue[bool] = asyncio.Queue()
@@ -155,11 +154,11 @@
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         try:
             if not any(peer.host == addr[0] for peer in self.config.peers):
-                raise BadAdvertisement("not of a peer")
+                raise AdvertisementError("not of a peer")
             heard = decode(data)
             if heard.router != self.config.router:
-                raise BadAdvertisement(f"router {heard.router}")
-        except BadAdvertisement as error:
+                raise AdvertisementError(f"router {heard.router}")
+        except AdvertisementError as error:
             log.warning("vrrp_skipped", why=str(error), source=addr[0])
             return
         self.after(self.router.received(heard, addr[0], self.loop.time()))
--- a/tests/config/test_settings.py
+++ b/tests/config/test_settings.py
@@ -10,17 +10,18 @@
 
 import pytest
 
-from storage_gateway.config.reader import BadConfig, read_config
-from storage_gateway.http.messages import BadMessage, decode_listing
+from storage_gateway.config import read_configuration
+from storage_gateway.endpoints.codec import decode_endpoint_update
+from storage_gateway.errors import ConfigurationError, ProtocolError
 from storage_gateway.policy.policy import Policy
-from tests.support.peers import FACTS
+from tests.support.peers import SETTINGS
 
 ABSENT = object()
 
 
 def configured(folder: Path, *path: str | int, value: Any) -> Any:
     """Reads a good configuration in which one value is another; ABSENT takes it out."""
-    good = {"name": "n", "listen": "h:1", "discovery": "h:2", "settings": deepcopy(FACTS)}
+    good = {"name": "n", "listen": "h:1", "discovery": "h:2", "settings": deepcopy(SETTINGS)}
     here: Any = good
     for key in path[:-1]:
         here = here[key] if isinstance(key, int) else here.setdefault(key, {})
@@ -30,7 +31,7 @@
         here[path[-1]] = value
     file = folder / "config.json"
     file.write_text(json.dumps(good))
-    return read_config({"RELAY_CONFIG": str(file)})
+    return read_configuration({"RELAY_CONFIG": str(file)})
 
 
 LANE, PLAN = ("settings", "Lanes", 0), ("settings", "Contracts", 0)
@@ -76,7 +77,7 @@
     ],
 )
 def test_a_bad_value_is_named_by_its_key(tmp_path: Path, path: Any, value: Any, key: str) -> None:
-    with pytest.raises(BadConfig) as caught:
+    with pytest.raises(ConfigurationError) as caught:
         configured(tmp_path, *path, value=value)
     assert str(caught.value).startswith(f"{key}: ")
     assert "\n" not in str(caught.value)
@@ -85,8 +86,8 @@
 def test_a_file_that_is_nested_without_end_is_no_traceback(tmp_path: Path) -> None:
     path = tmp_path / "config.json"
     path.write_text("[" * 200_000)
-    with pytest.raises(BadConfig, match=r"^RELAY_CONFIG: "):
-        read_config({"RELAY_CONFIG": str(path)})
+    with pytest.raises(ConfigurationError, match=r"^RELAY_CONFIG: "):
+        read_configuration({"RELAY_CONFIG": str(path)})
 
 
 def test_classes_of_another_customer_need_nothing_but_their_settings(tmp_path: Path) -> None:
@@ -95,7 +96,7 @@
         {"Name": "b", "AimS": 0.01, "GiveUpS": 0.02, "Repeat": "by_key", "DedupScope": "cell", "Worth": 7.0},
     ]
     found = configured(tmp_path, "settings", "Lanes", value=lanes)
-    assert (found.classes, found.give_up) == ({"a": 0, "b": 1}, [20.0, 0.02])
+    assert (found.class_indexes, found.client_timeouts_s) == ({"a": 0, "b": 1}, [20.0, 0.02])
     assert Policy(found.settings).step(0.0, []) == []
 
 
@@ -112,5 +113,5 @@
     ],
 )
 def test_a_list_of_discovery_that_cannot_be_taken_is_one_kind_of_fault(text: str) -> None:
-    with pytest.raises(BadMessage):
-        decode_listing(text)
+    with pytest.raises(ProtocolError):
+        decode_endpoint_update(text)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,7 @@
 """KNOWN-RED.txt: tests that fail for a fault that is known, one a line: test, cause, issue; three at most.
 
-Each has to fail: one that passes turns the run red, so that its line goes with the mend."""
+Each has to fail: one that passes turns the run red, so that its line goes with the mend.
+"""
 
 from __future__ import annotations
 
--- a/tests/endpoints/test_watch.py
+++ b/tests/endpoints/test_watch.py
@@ -8,9 +8,9 @@
 from unittest import mock
 
 from storage_gateway import policy_api as api
-from storage_gateway.config.reader import Address
+from storage_gateway.config import Address
 from storage_gateway.endpoints import watch as module
-from storage_gateway.endpoints.registry import Directory
+from storage_gateway.endpoints.registry import EndpointRegistry
 from storage_gateway.endpoints.watch import (
     CALL,
     CALL_ALONE,
@@ -20,19 +20,19 @@
     PAUSE,
     SILENCE,
     WINDOW,
-    Discovery,
+    DiscoveryClient,
     spread,
 )
-from tests.support.peers import DiscoveryAgent, Peer, answer, instance, listed
+from tests.support.peers import FakeDiscovery, FakePeer, apply_endpoints, make_endpoint, make_response
 
 NOWHERE = Address("127.0.0.1", 1)
 
 
-def discovery(callers: int, seed: int = 0, directory: Directory | None = None) -> Discovery:
-    return Discovery(NOWHERE, directory or Directory({}), lambda event: None, callers, seed)
+def discovery(callers: int, seed: int = 0, registry: EndpointRegistry | None = None) -> DiscoveryClient:
+    return DiscoveryClient(NOWHERE, registry or EndpointRegistry({}), lambda event: None, callers, seed)
 
 
-class BusyDiscovery(Peer):
+class BusyDiscovery(FakePeer):
     """Turns away so many calls, then tells an empty line."""
 
     def __init__(self, failures: int) -> None:
@@ -77,24 +77,24 @@
 
 class SharedDiscovery(unittest.IsolatedAsyncioTestCase):
     async def first_pause(self, callers: int, known: bool) -> float:
-        directory = Directory({})
+        registry = EndpointRegistry({})
         if known:
-            listed(directory, instance("s-1", 1))
-        one = discovery(callers, 3, directory)
+            apply_endpoints(registry, make_endpoint("s-1", 1))
+        one = discovery(callers, 3, registry)
         one.start()
         one.stop()
         return one.watches[0].turn
 
     async def test_the_first_call_takes_a_turn_where_an_old_list_is_at_hand(self) -> None:
-        self.assertGreater(await self.first_pause(40, known=True), 0.0)
-        self.assertEqual(await self.first_pause(40, known=False), 0.0)
-        self.assertEqual(await self.first_pause(1, known=True), 0.0)
+        assert await self.first_pause(40, known=True) > 0.0
+        assert await self.first_pause(40, known=False) == 0.0
+        assert await self.first_pause(1, known=True) == 0.0
 
     async def test_failures_in_a_row_are_counted_until_a_line_comes(self) -> None:
         service = await BusyDiscovery(3).start()
         told: list[Any] = []
-        one = Discovery(Address("127.0.0.1", service.port), Directory({}), told.append, 40)
-        one.directory.version = 7
+        one = DiscoveryClient(Address("127.0.0.1", service.port), EndpointRegistry({}), told.append, 40)
+        one.registry.version = 7
         counted = asyncio.Queue[int]()
 
         def pause(failures: int) -> float:
@@ -107,15 +107,15 @@
                 seen = [await counted.get() for _ in range(5)]
         one.stop()
         service.stop()
-        self.assertEqual(seen, [0, 1, 2, 0, 0])
+        assert seen == [0, 1, 2, 0, 0]
 
     async def test_a_lone_front_still_has_its_list_at_once(self) -> None:
-        agent = await DiscoveryAgent({"generation": 1, "reset": True, "instances": []}, [[b""]]).start()
+        agent = await FakeDiscovery({"generation": 1, "reset": True, "instances": []}, [[b""]]).start()
         told = asyncio.Queue[api.Event]()
-        one = Discovery(Address("127.0.0.1", agent.port), Directory({}), told.put_nowait)
+        one = DiscoveryClient(Address("127.0.0.1", agent.port), EndpointRegistry({}), told.put_nowait)
         one.start()
         async with asyncio.timeout(5):
-            self.assertEqual(await told.get(), api.NodeList(api.ListKind.FULL, []))
+            assert await told.get() == api.EndpointsChanged(api.EndpointUpdateKind.SNAPSHOT, [])
         one.stop()
         agent.stop()
 
@@ -132,7 +132,7 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
-class ScriptedAgent(Peer):
+class ScriptedAgent(FakePeer):
     """Each call is met by the next of the scripted ways; the last one meets all that follow."""
 
     def __init__(self, *ways: Any) -> None:
@@ -146,7 +146,7 @@
 
 
 async def whole(writer: asyncio.StreamWriter) -> None:
-    writer.write(answer(200, json.dumps(WHOLE).encode(), "Connection: close"))
+    writer.write(make_response(200, json.dumps(WHOLE).encode(), "Connection: close"))
 
 
 async def silent(writer: asyncio.StreamWriter) -> None:
@@ -194,8 +194,8 @@
         agent = await ScriptedAgent(*ways).start()
         self.addCleanup(agent.stop)
         self.told = asyncio.Queue[api.Event]()
-        one = Discovery(Address("127.0.0.1", agent.port), Directory({}), self.told.put_nowait)
-        one.directory.version = 7 if known else None
+        one = DiscoveryClient(Address("127.0.0.1", agent.port), EndpointRegistry({}), self.told.put_nowait)
+        one.registry.version = 7 if known else None
         with mock.patch.multiple(module, SILENCE=0.3, CALL_ALONE=0.15):
             one.call = 0.15
             one.start()
@@ -205,38 +205,41 @@
 
     async def test_a_call_that_is_not_answered_is_given_up(self) -> None:
         watch = "/discovery/hosts?watch=1&after=7"
-        self.assertEqual(await self.calls(silent, known=True), [watch] * 3)
+        assert await self.calls(silent, known=True) == [watch] * 3
 
     async def test_a_list_that_does_not_end_is_given_up(self) -> None:
-        self.assertEqual(await self.calls(endless_list), ["/discovery/hosts"] * 3)
+        assert await self.calls(endless_list) == ["/discovery/hosts"] * 3
 
     async def test_bytes_that_trickle_in_are_no_line(self) -> None:
         watch = "/discovery/hosts?watch=1&after=7"
-        self.assertEqual(await self.calls(trickling, known=True), [watch] * 3)
+        assert await self.calls(trickling, known=True) == [watch] * 3
 
     async def test_a_line_that_is_cut_is_not_taken_and_the_whole_list_follows(self) -> None:
         found = await self.calls(cut, whole, silent, known=True)
-        self.assertEqual(found[:2], ["/discovery/hosts?watch=1&after=7", "/discovery/hosts"])
+        assert found[:2] == ["/discovery/hosts?watch=1&after=7", "/discovery/hosts"]
         news = await self.told.get()
-        assert isinstance(news, api.NodeList)
-        self.assertEqual((news.kind, news.entries[0].state), (api.ListKind.FULL, api.NodeState.LIVE))
+        assert isinstance(news, api.EndpointsChanged)
+        assert (news.kind, news.entries[0].state) == (
+            api.EndpointUpdateKind.SNAPSHOT,
+            api.EndpointState.SERVING,
+        )
 
     async def test_a_malformed_message_over_two_lines_is_followed_by_the_whole_list(self) -> None:
         found = await self.calls(malformed, whole, silent, known=True)
-        self.assertEqual(found[:2], ["/discovery/hosts?watch=1&after=7", "/discovery/hosts"])
+        assert found[:2] == ["/discovery/hosts?watch=1&after=7", "/discovery/hosts"]
 
     async def test_an_indented_message_is_one(self) -> None:
         found = await self.calls(whole, indented, count=2)
-        self.assertEqual(found[1], "/discovery/hosts?watch=1&after=7")
+        assert found[1] == "/discovery/hosts?watch=1&after=7"
         async with asyncio.timeout(5):
             news = [await self.told.get() for _ in range(2)]
-        kinds = [(one.kind, one.entries[0].state) for one in news if isinstance(one, api.NodeList)]
-        self.assertEqual(kinds[1], (api.ListKind.CHANGES, api.NodeState.DRAINING))
+        kinds = [(one.kind, one.entries[0].state) for one in news if isinstance(one, api.EndpointsChanged)]
+        assert kinds[1] == (api.EndpointUpdateKind.DELTA, api.EndpointState.DRAINING)
 
     async def test_a_fault_of_the_front_s_own_does_not_end_the_watch(self) -> None:
-        with mock.patch.object(Directory, "apply", side_effect=[KeyError("of ours"), []]):
+        with mock.patch.object(EndpointRegistry, "apply", side_effect=[KeyError("of ours"), []]):
             found = await self.calls(whole, whole, silent)
-        self.assertEqual(found[:2], ["/discovery/hosts"] * 2)
+        assert found[:2] == ["/discovery/hosts"] * 2
 
     async def test_an_address_that_refuses_is_called_until_it_does_not(self) -> None:
         agent = await ScriptedAgent(whole, silent).start()
@@ -245,7 +248,7 @@
         address = Address("127.0.0.1", refusing.getsockname()[1])
         refusing.close()
         told = asyncio.Queue[api.Event]()
-        one = Discovery(address, Directory({}), told.put_nowait)
+        one = DiscoveryClient(address, EndpointRegistry({}), told.put_nowait)
         one.start()
         self.addCleanup(one.stop)
         async with asyncio.timeout(5):
@@ -260,7 +263,7 @@
         agent = await ScriptedAgent(silent, whole, silent).start()
         self.addCleanup(agent.stop)
         told = asyncio.Queue[api.Event]()
-        one = Discovery(NOWHERE, Directory({}), told.put_nowait, 10**6)
+        one = DiscoveryClient(NOWHERE, EndpointRegistry({}), told.put_nowait, 10**6)
         one.call = 0.15
         one.start()
         one.move(Address("127.0.0.1", agent.port))
--- a/tests/http/test_races.py
+++ b/tests/http/test_races.py
@@ -8,13 +8,14 @@
 from typing import Any
 from unittest import mock
 
+import pytest
 from aiohttp import web
 
 from storage_gateway import policy_api as api
 from storage_gateway.http.sockets import gone
-from storage_gateway.lifecycle import ATTEMPT_MARGIN, Ending
-from tests.http.test_server import FrontCase
-from tests.support.peers import answer
+from storage_gateway.lifecycle import ATTEMPT_MARGIN_S, AttemptResult
+from tests.support.http import HttpServerCase
+from tests.support.peers import make_response
 
 FIELDS = {
     "Host": "h",
@@ -43,10 +44,10 @@
 
 
 async def prompt(trace: str) -> bytes:
-    return answer()
+    return make_response()
 
 
-class CrossingCase(FrontCase):
+class CrossingCase(HttpServerCase):
     def connect(self) -> socket.socket:
         """A client's socket without the loop: what it sends or ends is in the kernel at once."""
         client = socket.create_connection(("127.0.0.1", self.front.address.port))
@@ -79,31 +80,31 @@
 class Draining(CrossingCase):
     async def test_what_was_taken_before_has_its_answer_before_the_process_ends(self) -> None:
         await self.begin(silent)
-        self.front.config.give_up[1] = 60.0  # its client waits far longer than the process may live
+        self.front.config.client_timeouts_s[1] = 60.0  # its client waits far longer than the process may live
         asking = asyncio.create_task(self.ask("t", "PUT", b"scan", X_Expires_In_Ms="60000"))
         await self.until(lambda: self.box.counts["t"])
-        self.core.drain(0.2)
+        self.executor.begin_shutdown(0.2)
         async with asyncio.timeout(5):
-            self.assertEqual((await asking)[0], 502)  # it may have run
-        await self.until(lambda: self.box.open == 0 and not self.core.calls)
+            assert (await asking)[0] == 502  # it may have run
+        await self.until(lambda: self.box.open == 0 and not self.executor.pending)
 
     async def test_what_is_held_as_the_process_ends_is_refused_and_not_sent(self) -> None:
         await self.begin(silent)
-        self.front.config.give_up[0] = 60.0
-        with mock.patch.object(self.core.policy, "step", lambda now, events: []):
+        self.front.config.client_timeouts_s[0] = 60.0
+        with mock.patch.object(self.executor.policy, "step", lambda now, events: []):
             asking = asyncio.create_task(self.ask("t", X_Expires_In_Ms="60000"))
-            await self.until(lambda: self.core.calls)
-            self.core.drain(0.1)
+            await self.until(lambda: self.executor.pending)
+            self.executor.begin_shutdown(0.1)
             async with asyncio.timeout(5):
-                self.assertEqual((await asking)[0], 503)
-        self.assertEqual(self.box.accepted, 0)
+                assert (await asking)[0] == 503
+        assert self.box.accepted == 0
 
     async def test_no_attempt_begins_past_the_last_answer(self) -> None:
         await self.begin(prompt)
-        with self.after_dial(lambda: self.core.drain(ATTEMPT_MARGIN / 2)):
+        with self.after_dial(lambda: self.executor.begin_shutdown(ATTEMPT_MARGIN_S / 2)):
             status, _ = await self.ask("t")
-        self.assertIn(status, (502, 503))
-        self.assertEqual(self.box.counts["t"], 0)
+        assert status in (502, 503)
+        assert self.box.counts["t"] == 0
 
     async def test_the_last_answer_outlives_a_request_that_comes_as_its_connection_ends(self) -> None:
         await self.begin(prompt)
@@ -118,13 +119,13 @@
         client.sendall(request("t"))
         with mock.patch.object(web.Response, "write_eof", write_eof):
             found = await self.received(client)
-        self.assertTrue(found.startswith(b"HTTP/1.1 200 ") and found.endswith(b"tile"), found)
-        self.assertIn(b"Connection: close", found)
+        assert found.startswith(b"HTTP/1.1 200 ") and found.endswith(b"tile"), found
+        assert b"Connection: close" in found
         (one,) = self.front.clients
         client.close()
         await self.until(lambda: not self.front.clients)
-        self.assertFalse(one._messages, "what is read after the last answer is dropped")
-        self.assertEqual(self.box.counts["crossing"], 0)
+        assert not one._messages, "what is read after the last answer is dropped"
+        assert self.box.counts["crossing"] == 0
 
     async def test_a_client_that_sends_on_for_ever_is_cut_off_in_the_end(self) -> None:
         await self.begin(prompt)
@@ -133,7 +134,7 @@
         client.sendall(request("t"))
         await self.received(client)  # up to the end of the front's sending
         client.setblocking(False)
-        with self.assertRaises(ConnectionError):
+        with pytest.raises(ConnectionError):
             async with asyncio.timeout(5):
                 while True:
                     await asyncio.get_running_loop().sock_sendall(client, bytes(65536))
@@ -145,7 +146,7 @@
         closing = asyncio.create_task(self.front.close())  # its first step comes before the next accept
         assert self.front.listener
         self.front.listener.loop.remove_reader(self.front.listener.socket)
-        self.assertTrue((await self.received(client)).startswith(b"HTTP/1.1 200 "))
+        assert (await self.received(client)).startswith(b"HTTP/1.1 200 ")
         await closing
 
     async def test_a_request_that_has_half_come_as_the_front_closes_is_answered(self) -> None:
@@ -156,11 +157,11 @@
         closing = asyncio.create_task(self.front.close())
         await asyncio.sleep(0)
         client.sendall(request("t")[40:])
-        self.assertTrue((await self.received(client)).startswith(b"HTTP/1.1 200 "))
+        assert (await self.received(client)).startswith(b"HTTP/1.1 200 ")
         await closing
 
     async def test_an_answer_that_a_slow_client_is_still_reading_is_not_cut(self) -> None:
-        large = answer(200, bytes(1_000_000))
+        large = make_response(200, bytes(1_000_000))
 
         async def script(trace: str) -> bytes:
             return large
@@ -172,11 +173,11 @@
         one.connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
         client.sendall(request("t"))
         await self.until(lambda: one.graceful and one.graceful.get_write_buffer_size())
-        self.assertIn(one, self.front.idle)  # its request is over, its answer is not
+        assert one in self.front.idle  # its request is over, its answer is not
         closing = asyncio.create_task(self.front.close())
         await asyncio.sleep(0)
         found = await self.received(client)  # up to the end of the connection
-        self.assertEqual(len(found.partition(b"\r\n\r\n")[2]), 1_000_000)
+        assert len(found.partition(b"\r\n\r\n")[2]) == 1000000
         client.close()
         await closing
 
@@ -188,9 +189,9 @@
         (one,) = self.front.clients
         await self.until(one.waits)
         client.sendall(request("second"))
-        one._next_keepalive_close_time = self.core.loop.time()
+        one._next_keepalive_close_time = self.executor.loop.time()
         one._process_keepalive()
-        self.assertTrue((await self.received(client, b"tile")).startswith(b"HTTP/1.1 200 "))
+        assert (await self.received(client, b"tile")).startswith(b"HTTP/1.1 200 ")
 
 
 class ClientGone(CrossingCase):
@@ -199,8 +200,8 @@
         client = self.connect()
         with self.after_dial(lambda: leave(client)):
             client.sendall(request("t"))
-            await self.until(lambda: self.boxes.dials and not self.core.calls)
-        self.assertEqual(self.box.counts["t"], 0)
+            await self.until(lambda: self.boxes.dials and not self.executor.pending)
+        assert self.box.counts["t"] == 0
 
     async def test_an_attempt_does_not_begin_for_a_client_that_has_just_closed(self) -> None:
         await self.leave_after_dial(socket.socket.close)
@@ -214,53 +215,57 @@
     async def test_nor_a_further_attempt(self) -> None:
         async def script(trace: str) -> bytes:
             client.close()
-            return answer(503, b"", "X-Never-Ran: 1", "Connection: close")
+            return make_response(503, b"", "X-Never-Ran: 1", "Connection: close")
 
         await self.begin(script)
         client = self.connect()
-        with mock.patch.object(self.core.policy, "judge_node"):  # the next attempt is due at once
+        with mock.patch.object(self.executor.policy, "judge_node"):  # the next attempt is due at once
             client.sendall(request("t"))
-            await self.until(lambda: self.box.counts["t"] and not self.core.calls)
-        self.assertEqual(self.box.counts["t"], 1)
+            await self.until(lambda: self.box.counts["t"] and not self.executor.pending)
+        assert self.box.counts["t"] == 1
 
     async def test_a_client_that_leaves_while_its_request_is_held_is_withdrawn_at_once(self) -> None:
         await self.begin(prompt)
-        self.front.config.give_up[0] = 60.0
+        self.front.config.client_timeouts_s[0] = 60.0
         client = self.connect()
         told: list[api.Event] = []
-        with mock.patch.object(self.core.policy, "step", lambda now, events: told.extend(events) or []):
+        with mock.patch.object(self.executor.policy, "step", lambda now, events: told.extend(events) or []):
             client.sendall(request("t", X_Expires_In_Ms="60000"))
-            await self.until(lambda: self.core.calls)
+            await self.until(lambda: self.executor.pending)
             client.close()
-            await self.until(lambda: any(isinstance(event, api.Withdrawn) for event in told))
-        self.assertEqual((self.core.calls, self.box.accepted), ({}, 0))
+            await self.until(lambda: any(isinstance(event, api.ClientCancelled) for event in told))
+        assert (self.executor.pending, self.box.accepted) == ({}, 0)
 
     async def test_bytes_behind_a_request_are_no_end_but_an_end_behind_them_is_seen(self) -> None:
         ours, theirs = socket.socketpair(socket.AF_UNIX)
         ours.setblocking(False)
         self.addCleanup(ours.close)
-        self.assertFalse(gone(ours))
+        assert not gone(ours)
         theirs.sendall(b"more")
-        self.assertFalse(gone(ours))
+        assert not gone(ours)
         theirs.close()
-        self.assertTrue(gone(ours))
+        assert gone(ours)
 
 
 class Attempts(CrossingCase):
     async def test_an_attempt_tells_its_box_what_is_left_after_the_connection_came_up_late(self) -> None:
         await self.begin(prompt)
-        with self.after_dial(lambda: setattr(self.core, "offset", self.core.offset + 1.0)):
+        with self.after_dial(
+            lambda: setattr(self.executor, "clock_offset_s", self.executor.clock_offset_s + 1.0)
+        ):
             await self.ask("t")
         (head,) = self.box.heads
         told = int(head.split("X-Expires-In-Ms: ")[1].split("\r\n")[0])
-        self.assertLess(told, 500)
+        assert told < 500
 
     async def test_an_attempt_does_not_begin_past_its_client_s_time(self) -> None:
         await self.begin(prompt)
-        with self.after_dial(lambda: setattr(self.core, "offset", self.core.offset + 2.0)):
+        with self.after_dial(
+            lambda: setattr(self.executor, "clock_offset_s", self.executor.clock_offset_s + 2.0)
+        ):
             status, _ = await self.ask("t")
-        self.assertNotEqual(status, 200)
-        self.assertEqual(self.box.counts["t"], 0)
+        assert status != 200
+        assert self.box.counts["t"] == 0
 
     async def test_a_keyed_request_is_not_repeated_once_nobody_remembers_it(self) -> None:
         """Its second attempt is decided inside the window, but its connection comes up past it."""
@@ -269,49 +274,49 @@
             return None  # it may have run
 
         await self.begin(script)
-        kind = self.core.policy.settings.classes[0]
-        kind.repeat, kind.memory = api.Repeat.KEYED, 0.5
+        kind = self.executor.policy.settings.classes[0]
+        kind.repeatability, kind.idempotency_window_s = api.Repeatability.IDEMPOTENT_WITH_KEY, 0.5
         dials = []
 
         def late() -> None:
-            dials.append(self.core.now())
+            dials.append(self.executor.now())
             if len(dials) == 2:
-                self.core.offset += 0.6
+                self.executor.clock_offset_s += 0.6
 
         with self.after_dial(late):
             status, _ = await self.ask("t")
-        self.assertNotEqual(status, 200)
-        self.assertEqual((self.box.counts["t"], len(dials)), (1, 2))
+        assert status != 200
+        assert (self.box.counts["t"], len(dials)) == (1, 2)
 
     async def test_a_connection_that_was_not_needed_in_the_end_is_kept(self) -> None:
         await self.begin(prompt)
         found = await self.boxes.attempt(1, mock.Mock(), lambda: 0.0)
-        self.assertEqual(found, Ending(api.Outcome.NOT_SENT))
-        self.assertEqual((self.boxes.open, len(self.boxes.pools[1].idle)), (1, 1))
+        assert found == AttemptResult(api.AttemptOutcome.NOT_SENT)
+        assert (self.boxes.open, len(self.boxes.pools[1].idle)) == (1, 1)
 
     async def test_a_call_off_that_meets_the_attempt_s_own_timer_harms_no_other_request(self) -> None:
         await self.begin(prompt)
-        arrival = api.Arrival("t", 0, 0, 1, 1, 0, 1.0, self.core.now() + 60, 1)
+        arrival = api.RequestArrived("t", 0, 0, 1, 1, 0, 1.0, self.executor.now() + 60, 1)
         other: asyncio.Queue[Any] = asyncio.Queue()
 
-        async def attempt(node: int) -> Ending[bytes]:
-            call = self.core.calls["t"]
+        async def attempt(node: int) -> AttemptResult[bytes]:
+            call = self.executor.pending["t"]
             assert call.attempt_timer
             call.attempt_timer.reschedule(0.0)  # it fires; the policy speaks before this task hears of it
-            asyncio.get_running_loop().call_soon(self.core.step)
+            asyncio.get_running_loop().call_soon(self.executor.step)
             await asyncio.sleep(60)
             raise AssertionError
 
         def step(now: float, events: list[api.Event]) -> list[api.Action]:
             if not events:
-                return [api.Cancel("t", 0), api.Refuse("other")]
-            if isinstance(events[0], api.Ended):
-                return [api.Fail("t")]
-            return [api.Send("t", 1)]
+                return [api.CancelAttempt("t", 0), api.RejectRequest("other")]
+            if isinstance(events[0], api.AttemptEnded):
+                return [api.FailRequest("t")]
+            return [api.SendAttempt("t", 1)]
 
-        self.core.calls["other"] = mock.Mock(actions=other)
-        with mock.patch.object(self.core.policy, "step", step):
+        self.executor.pending["other"] = mock.Mock(actions=other)
+        with mock.patch.object(self.executor.policy, "step", step):
             async with asyncio.timeout(5):
-                await self.core.serve(arrival, attempt)
-                self.assertEqual(await other.get(), api.Refuse("other"))
-        del self.core.calls["other"]
+                await self.executor.execute(arrival, attempt)
+                assert await other.get() == api.RejectRequest("other")
+        del self.executor.pending["other"]
--- /dev/null
+++ b/tests/policy/test_memory.py
@@ -0,0 +1,19 @@
+"""What the policy keeps in memory, and for how long."""
+
+from __future__ import annotations
+
+import unittest
+
+from storage_gateway import policy_api as api
+from storage_gateway.policy.policy import Policy
+from tests.support.peers import make_config
+
+
+class MemoryTest(unittest.TestCase):
+    def test_cells_that_only_requests_name_leave_nothing_behind(self) -> None:
+        policy = Policy(make_config().settings)
+        for cell in range(50):
+            policy.step(100.0, [api.RequestArrived(f"r{cell}", 0, 0, cell, cell, cell, 1.0, 101.5, 1)])
+        for now in (150.0, 200.0):
+            policy.step(now, [])
+        assert (policy.held, policy.volumes, policy.requests, policy.tries) == ({}, {}, {}, {})
