Cut the policy into parts by concern over shared records without a decision

rules.Policy had 546 lines, 40 methods, 35 attributes and eight jobs. Now policy/ holds the state machine (policy.py), the control loop (concurrency.py), scheduling, admission, slow start, retries and node health; policy_state/ holds what only remembers or estimates (requests, nodes, volumes, class estimates, token buckets, demand, timers, counters); policy_api/ the settings, events and actions, each documented.

--- a/storage_gateway/lifecycle.py
+++ b/storage_gateway/lifecycle.py
@@ -16,7 +16,7 @@
 import structlog
 
 from storage_gateway import policy_api as api
-from storage_gateway.policy.policy import NEVER_RAN, Policy
+from storage_gateway.policy import Policy
 
 T = TypeVar("T")
 ATTEMPT_MARGIN_S = 0.04  # an attempt ends this long before the client's deadline, so that the answer beats it
@@ -240,7 +240,10 @@
                 False,
             )  # in doubt, it may have run
         finally:
-            call.attempt_timer, call.may_have_executed = None, before or ending.outcome not in NEVER_RAN
+            call.attempt_timer, call.may_have_executed = (
+                None,
+                before or not ending.outcome.proves_no_execution,
+            )
             self.post_attempt_ended(ask, number, node, ending, self.now() - sent, settled)
         return ending
 
--- /dev/null
+++ b/storage_gateway/policy_state/status.py
@@ -0,0 +1,55 @@
+"""The policy's part of the periodic status line."""
+
+from __future__ import annotations
+
+from collections import Counter
+from enum import StrEnum
+
+from storage_gateway.policy_state.state import PolicyState
+
+REPORTED_FAILING_NODES = 3
+
+
+class RejectReason(StrEnum):
+    """What kept a request from being served, as the status line counts it."""
+
+    NO_ENDPOINT = "no_endpoint"
+    SLOW_START = "slow_start"
+    BACKOFF = "backoff"
+    EXCESS_RATE = "excess_rate"
+    RATE_LIMIT = "rate_limit"
+    CONCURRENCY_LIMIT = "concurrency_limit"
+    LATE = "late"
+    NON_IDEMPOTENT = "non_idempotent"
+    MAX_ATTEMPTS = "max_attempts"
+
+
+def longest_wait(ready_at: dict[RejectReason, float], now: float) -> RejectReason | None:
+    """Return what the request would have had to wait for longest, None where nothing is ahead of it."""
+    longest = max(ready_at, key=lambda reason: ready_at[reason])
+    return longest if ready_at[longest] > now else None
+
+
+def take_status_fields(state: PolicyState) -> dict[str, object]:
+    """Return counts since the last call, and the present state of the nodes; the counts begin anew."""
+    counters = dict(sorted(state.counters.items()))
+    failures = state.failures_by_node.most_common(REPORTED_FAILING_NODES)
+    state.counters = Counter()
+    state.failures_by_node = Counter()
+    nodes = list(state.nodes.owners.values())
+    window = state.settings.safety.slow_start_window_s
+    return {
+        **counters,
+        "queued": sum(map(len, state.requests.queues.values())),
+        "in_flight": sum(node.in_flight_count for node in nodes),
+        "nodes": len(nodes),
+        "warming_up": sum(node.started_at > 0 and state.now - node.started_at < window for node in nodes),
+        "concurrency_limit": round(sum(node.concurrency_limit for node in nodes)),
+        "excess_rate": round(sum(node.excess_rate for node in nodes)),
+        "headroom": round(state.nodes.headroom, 1),
+        "queueing_delay_ms": round(1000 * sum(node.queueing_delay_s for node in nodes)),
+        "backing_off": sum(node.backoff_until > state.now for node in nodes),
+        "unit_time_ms": round(1000 * state.nodes.unit_time_s),
+        "failures_by_node": failures,
+        "class_bounds": [round(estimate.bound, 2) for estimate in state.classes],
+    }
--- /dev/null
+++ b/storage_gateway/policy_state/timer_queue.py
@@ -0,0 +1,41 @@
+"""The timer queue: what to check, and when."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from heapq import heappop, heappush
+from itertools import count
+
+from storage_gateway.policy_state.node import Node
+from storage_gateway.policy_state.request import Request
+
+
+@dataclass(slots=True, frozen=True)
+class WatchDue:
+    """The endpoint list is to be asked for."""
+
+
+Subject = Request | Node | WatchDue
+
+
+class TimerQueue:
+    """Requests, nodes and the endpoint watch by the time at which they are to be checked."""
+
+    def __init__(self) -> None:
+        self.heap: list[tuple[float, int, Subject]] = []
+        self._sequence = count(1)  # entries of one time keep their order
+
+    def add(self, due_at: float, subject: Subject) -> None:
+        """Have the subject checked at this time."""
+        heappush(self.heap, (due_at, next(self._sequence), subject))
+
+    def next_at(self) -> float:
+        """Return when the earliest entry is due, infinite for none. Entries of requests that are over go."""
+        while self.heap and isinstance(self.heap[0][2], Request) and self.heap[0][2].is_over:
+            heappop(self.heap)
+        return self.heap[0][0] if self.heap else math.inf
+
+    def pop(self) -> Subject:
+        """Take out the earliest entry."""
+        return heappop(self.heap)[2]
--- a/storage_gateway/service.py
+++ b/storage_gateway/service.py
@@ -151,7 +151,7 @@
         latency_objectives_s=[kind.latency_objective_s for kind in config.settings.classes],
         safety=config.settings.safety,
         slow_start_units=config.settings.slow_start_units,
-        spare=executor.policy.spare,
+        min_excess_rate=executor.policy.state.nodes.min_excess_rate,
         max_retry_after_s=config.settings.max_retry_after_s,
     )
     await stop.wait()
--- a/storage_gateway/simulator_adapter.py
+++ b/storage_gateway/simulator_adapter.py
@@ -9,7 +9,7 @@
 from storage_gateway import policy_api as api
 from storage_gateway.config import read_settings
 from storage_gateway.errors import WireFormatError
-from storage_gateway.policy.policy import Policy
+from storage_gateway.policy import Policy
 
 OUTCOMES = {
     "completed": api.AttemptOutcome.SERVED,
--- a/tests/config/test_settings.py
+++ b/tests/config/test_settings.py
@@ -13,7 +13,7 @@
 from storage_gateway.config import read_configuration
 from storage_gateway.endpoints.codec import decode_endpoint_update
 from storage_gateway.errors import ConfigurationError, ProtocolError
-from storage_gateway.policy.policy import Policy
+from storage_gateway.policy import Policy
 from tests.support.peers import SETTINGS
 
 ABSENT = object()
--- a/tests/http/test_races.py
+++ b/tests/http/test_races.py
@@ -219,7 +219,7 @@
 
         await self.begin(script)
         client = self.connect()
-        with mock.patch.object(self.executor.policy, "judge_node"):  # the next attempt is due at once
+        with mock.patch.object(self.executor.policy.health, "update"):  # the next attempt is due at once
             client.sendall(request("t"))
             await self.until(lambda: self.box.counts["t"] and not self.executor.pending)
         assert self.box.counts["t"] == 1
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -80,7 +80,7 @@
         await self.until(lambda: self.box.counts["t"])
         asking.cancel()
         await self.until(lambda: self.box.open == 0 and not self.executor.pending)
-        assert sum(sum(node.out) for node in self.executor.policy.nodes.values()) == 0
+        assert sum(node.in_flight_count for node in self.executor.policy.state.nodes.by_id.values()) == 0
 
     async def test_without_a_box_a_request_is_refused_at_once(self) -> None:
         await self.begin(lambda trace: asyncio.sleep(60))
@@ -273,6 +273,8 @@
                 late.append(serving.cancel())
 
         with mock.patch.object(self.executor, "step", step):
-            await self.until(lambda: late and not self.executor.pending and not self.executor.policy.requests)
+            await self.until(
+                lambda: late and not self.executor.pending and not self.executor.policy.state.requests.by_id
+            )
         assert late == [True]
-        assert sum(sum(node.out) for node in self.executor.policy.nodes.values()) == 0
+        assert sum(node.in_flight_count for node in self.executor.policy.state.nodes.by_id.values()) == 0
--- /dev/null
+++ b/tests/policy/test_endpoint_updates.py
@@ -0,0 +1,60 @@
+"""What the policy does as the endpoint list changes."""
+
+from __future__ import annotations
+
+import pytest
+
+from storage_gateway import policy_api as api
+from storage_gateway.policy_api import AttemptOutcome
+from storage_gateway.simulator_adapter import read_entry
+from tests.support.policy import (
+    PolicyDriver,
+    make_endpoint_entry,
+    make_settings,
+)
+
+
+@pytest.mark.parametrize("state", [api.EndpointState.DRAINING, api.EndpointState.REMOVED])
+def test_nothing_to_a_node_that_drains_or_is_gone(state: api.EndpointState) -> None:
+    driver = PolicyDriver(make_settings(), [make_endpoint_entry(1, 1)])
+    driver.step(api.EndpointsChanged(api.EndpointUpdateKind.DELTA, [make_endpoint_entry(1, 1, state)]))
+    driver.submit("a")
+    driver.run_until(101.0)
+    assert driver.sent() == []
+
+
+def test_nothing_to_a_node_absent_from_a_full_list() -> None:
+    driver = PolicyDriver(make_settings(), [make_endpoint_entry(1, 1), make_endpoint_entry(2, 2)])
+    driver.step(api.EndpointsChanged(api.EndpointUpdateKind.SNAPSHOT, [make_endpoint_entry(2, 2)]))
+    driver.submit("a")
+    driver.run_until(101.0)
+    assert driver.sent() == []
+
+
+def test_the_endpoint_list_is_watched_and_asked_for_again_after_a_failure() -> None:
+    driver = PolicyDriver(
+        make_settings(must_watch_endpoints=True, safety={"endpoint_poll_interval_s": 8.0}),
+        [make_endpoint_entry(1, 1)],
+    )
+    assert driver.actions == [api.WatchEndpoints()]
+    driver.run_until(103.0)
+    assert driver.actions == [api.WatchEndpoints()]
+    driver.step(api.EndpointsChanged(api.EndpointUpdateKind.UNAVAILABLE, []))
+    assert not driver.run_until(104.9)
+    assert driver.run_until(105.1) == [api.WatchEndpoints()]
+
+
+def test_a_node_without_a_shard_takes_new_objects_only() -> None:
+    driver = PolicyDriver(make_settings(), [make_endpoint_entry(1, -1)])
+    driver.step(driver.arrival("new", shard=-1), driver.arrival("old", shard=5))
+    assert driver.sent() == ["new"]
+    driver.end_attempt("new", AttemptOutcome.SERVED)
+    assert read_entry({"Shelf": 3, "StageState": "live"}).shard == -1
+
+
+def test_a_node_listed_twice_stands_as_named_last() -> None:
+    driver = PolicyDriver(
+        make_settings(), [make_endpoint_entry(1, 1), make_endpoint_entry(1, 1, api.EndpointState.DRAINING)]
+    )
+    driver.submit("a")
+    assert driver.sent() == []
--- a/tests/policy/test_memory.py
+++ b/tests/policy/test_memory.py
@@ -5,15 +5,17 @@
 import unittest
 
 from storage_gateway import policy_api as api
-from storage_gateway.policy.policy import Policy
+from storage_gateway.policy import Policy
 from tests.support.peers import make_config
 
 
 class MemoryTest(unittest.TestCase):
-    def test_cells_that_only_requests_name_leave_nothing_behind(self) -> None:
+    def test_shards_that_only_requests_name_leave_nothing_behind(self) -> None:
         policy = Policy(make_config().settings)
-        for cell in range(50):
-            policy.step(100.0, [api.RequestArrived(f"r{cell}", 0, 0, cell, cell, cell, 1.0, 101.5, 1)])
+        for shard in range(50):
+            policy.step(100.0, [api.RequestArrived(f"r{shard}", 0, 0, shard, shard, shard, 1.0, 101.5, 1)])
         for now in (150.0, 200.0):
             policy.step(now, [])
-        assert (policy.held, policy.volumes, policy.requests, policy.tries) == ({}, {}, {}, {})
+        requests = policy.state.requests
+        assert (requests.queues, requests.by_id, requests.failed_tries) == ({}, {}, {})
+        assert policy.state.volumes.by_id == {}
--- a/tests/policy/test_random_events.py
+++ b/tests/policy/test_random_events.py
@@ -42,8 +42,8 @@
     "endpoint_poll_interval_s": 10.0,
     "key_cooldown_s": 0.1,
 }
-PROOF = (AttemptOutcome.REJECTED, AttemptOutcome.CONNECT_FAILED, AttemptOutcome.NOT_SENT)
-CELLS = 3
+NEVER_EXECUTED = (AttemptOutcome.REJECTED, AttemptOutcome.CONNECT_FAILED, AttemptOutcome.NOT_SENT)
+SHARDS = 3
 
 
 class World:
@@ -52,16 +52,17 @@
     def __init__(self, seed: int) -> None:
         self.dice = random.Random(seed)
         config = make_settings(CLASSES, PLANS, SAFETY, must_watch_endpoints=True, gateway_count=2)
-        self.host = PolicyDriver(config, [make_endpoint_entry(cell, cell) for cell in range(CELLS)], now=50.0)
+        self.driver = PolicyDriver(
+            config, [make_endpoint_entry(shard, shard) for shard in range(SHARDS)], now=50.0
+        )
         self.safety = config.safety
         self.config = config
-        self.node_of = {cell: cell for cell in range(CELLS)}
-        self.state = dict.fromkeys(range(CELLS), EndpointState.SERVING)
-        self.started_at = dict.fromkeys(range(CELLS), 0.0)
+        self.state = dict.fromkeys(range(SHARDS), EndpointState.SERVING)
+        self.started_at = dict.fromkeys(range(SHARDS), 0.0)
         self.asked: dict[str, api.RequestArrived] = {}
         self.owed: set[str] = set()
         self.answered: set[str] = set()
-        self.out: dict[str, tuple[int, int, float, float]] = {}  # attempt, node, sent, ends
+        self.in_flight: dict[str, tuple[int, int, float, float]] = {}  # attempt, node, sent, ends
         self.sends: dict[str, int] = defaultdict(int)
         self.ran: dict[str, tuple[float, int]] = {}
         self.line: dict[int, list[str]] = defaultdict(list)
@@ -70,15 +71,15 @@
         self.extras: list[float] = []
         self.to_node: dict[int, list[tuple[float, float]]] = defaultdict(list)
         self.drawn: dict[int, list[tuple[float, float]]] = defaultdict(list)
-        self.pace = math.inf  # the least that the host has taken a unit's service for
+        self.unit_time_s = math.inf  # the least that the driver has taken a unit's service for
 
     def kind(self, name: str) -> api.RequestClass:
         return CLASSES[self.asked[name].class_index]
 
     def arrive(self) -> api.Event:
-        now, dice = self.host.now, self.dice
+        now, dice = self.driver.now, self.dice
         volume = dice.randrange(6)
-        event = self.host.arrival(
+        event = self.driver.arrival(
             f"q{len(self.asked)}",
             class_index=dice.randrange(len(CLASSES)),
             plan_index=volume % 2,
@@ -97,8 +98,8 @@
         return event
 
     def finish(self, name: str, outcome: AttemptOutcome) -> api.Event:
-        attempt, node, sent, _ = self.out.pop(name)
-        if outcome not in PROOF and outcome is not AttemptOutcome.SERVED:
+        attempt, node, sent, _ = self.in_flight.pop(name)
+        if outcome not in NEVER_EXECUTED and outcome is not AttemptOutcome.SERVED:
             self.ran.setdefault(name, (sent, node))
         if outcome is AttemptOutcome.SERVED:
             self.owed.discard(name)
@@ -109,39 +110,39 @@
             AttemptOutcome.CANCELLED,
         )
         if unsure and self.kind(name).ordered_by_key and item is not None:
-            self.rest[item] = self.host.now + self.safety.key_cooldown_s
+            self.rest[item] = self.driver.now + self.safety.key_cooldown_s
         self.leave_line(name)
-        return api.AttemptEnded(name, attempt, node, outcome, self.host.now - sent, name not in self.owed)
+        return api.AttemptEnded(name, attempt, node, outcome, self.driver.now - sent, name not in self.owed)
 
     def leave_line(self, name: str) -> None:
         item = self.asked[name].object_key
-        over = name not in self.owed and name not in self.out
+        over = name not in self.owed and name not in self.in_flight
         if over and item is not None and name in self.line[item]:
             self.line[item].remove(name)
 
     def news(self) -> api.Event:
         if self.dice.random() < 0.2:
             return api.EndpointsChanged(api.EndpointUpdateKind.UNAVAILABLE, [])
-        cell = self.dice.randrange(CELLS)
-        if self.state[cell] is EndpointState.SERVING:
-            self.state[cell] = self.dice.choice([EndpointState.DRAINING, EndpointState.REMOVED])
+        shard = self.dice.randrange(SHARDS)
+        if self.state[shard] is EndpointState.SERVING:
+            self.state[shard] = self.dice.choice([EndpointState.DRAINING, EndpointState.REMOVED])
         else:
-            self.state[cell] = EndpointState.SERVING
-            self.started_at[cell] = self.host.now - self.dice.choice([0.0, 5.0, 50.0])
-            self.to_node[cell].clear()
-        changed = make_endpoint_entry(cell, cell, self.state[cell], self.started_at[cell])
+            self.state[shard] = EndpointState.SERVING
+            self.started_at[shard] = self.driver.now - self.dice.choice([0.0, 5.0, 50.0])
+            self.to_node[shard].clear()
+        changed = make_endpoint_entry(shard, shard, self.state[shard], self.started_at[shard])
         return api.EndpointsChanged(api.EndpointUpdateKind.DELTA, [changed])
 
     def step(self) -> None:
-        host, dice = self.host, self.dice
-        host.now += dice.choice([0.0, 0.005, 0.02, 0.02])
+        driver, dice = self.driver, self.dice
+        driver.now += dice.choice([0.0, 0.005, 0.02, 0.02])
         events: list[api.Event] = [api.TimerFired(0)]
         if dice.random() < 0.05:
             events.append(self.news())
-        for name, (_, _, _, ends) in list(self.out.items()):
-            if host.now >= self.asked[name].deadline:
+        for name, (_, _, _, ends) in list(self.in_flight.items()):
+            if driver.now >= self.asked[name].deadline:
                 events.append(self.finish(name, AttemptOutcome.TIMEOUT))
-            elif host.now >= ends:
+            elif driver.now >= ends:
                 bad = dice.random() < 0.4
                 events.append(
                     self.finish(name, dice.choice(list(AttemptOutcome)) if bad else AttemptOutcome.SERVED)
@@ -153,18 +154,23 @@
             self.leave_line(name)
             events.append(api.ClientCancelled(name))
         events += [self.arrive() for _ in range(dice.choice([0, 0, 1, 3]))]
-        for action in host.step(*events):
+        for action in driver.step(*events):
             self.check(action)
-        late = [name for name in self.owed if self.asked[name].deadline < host.now and name not in self.out]
+        late = [
+            name
+            for name in self.owed
+            if self.asked[name].deadline < driver.now and name not in self.in_flight
+        ]
         assert not late, f"no final answer in time: {late}"
 
     def check(self, action: api.Action) -> None:
-        now = self.host.now
+        now = self.driver.now
         if isinstance(action, api.SendAttempt):
             self.check_send(action.request_id, action.node, now)
         elif isinstance(action, api.RejectRequest | api.FailRequest):
             name = action.request_id
-            assert name in self.owed and name not in self.out, "one final answer"
+            assert name in self.owed, "one final answer"
+            assert name not in self.in_flight, "one final answer"
             if isinstance(action, api.RejectRequest) and name in self.ran:
                 kind = self.kind(name)
                 assert kind.repeatability is Repeatability.REPEATABLE or (
@@ -175,43 +181,72 @@
             self.leave_line(name)
 
     def check_send(self, name: str, node: int, now: float) -> None:
-        self.pace = min(self.pace, self.host.policy.pace or math.inf)
-        ask, kind, safety = self.asked[name], self.kind(name), self.safety
-        assert name in self.owed and name not in self.out, "over, or two attempts at once"
+        arrival, kind = self.asked[name], self.kind(name)
+        self.unit_time_s = min(self.unit_time_s, self.driver.policy.state.nodes.unit_time_s or math.inf)
+        assert name in self.owed, "the request is over"
+        assert name not in self.in_flight, "two attempts at once"
         assert self.sends[name] < self.config.max_attempts
-        assert ask.shard in (-1, node), "another cell"
+        assert arrival.shard in (-1, node), "another shard"
         assert self.state[node] is EndpointState.SERVING, "drains"
-        if name in self.ran:
-            sent, home = self.ran[name]
-            assert kind.repeatability is not Repeatability.NON_IDEMPOTENT, "doubled effect"
-            if kind.repeatability is Repeatability.IDEMPOTENT_WITH_KEY:
-                assert now <= sent + kind.idempotency_window_s
-                assert kind.idempotency_scope is IdempotencyScope.ALL or node == home
-        if kind.ordered_by_key and ask.object_key is not None:
-            assert self.line[ask.object_key][0] == name and now >= self.rest[ask.object_key], "order by key"
+        self.check_effect(name, node, now)
+        if kind.ordered_by_key and arrival.object_key is not None:
+            assert self.line[arrival.object_key][0] == name, "order by key"
+            assert now >= self.rest[arrival.object_key], "order by key"
         if self.sends[name]:
-            self.extras.append(now)
-            recent = sum(1 for time in self.taken if time > now - safety.retry_budget_window_s)
-            used = sum(1 for time in self.extras if time > now - safety.retry_budget_window_s)
-            assert used <= safety.retry_budget_base + safety.retry_budget_ratio * recent, "attempt budget"
-        elif PLANS[ask.plan_index].rate_limit:
-            plan, draws = PLANS[ask.plan_index], self.drawn[ask.volume_id]
-            draws.append((now, ask.units))
-            for index, (start, _) in enumerate(draws):
-                drawn = sum(units for _, units in draws[index:])
-                assert drawn <= (plan.rate_limit_burst + plan.rate_limit * (now - start)) / 2 + 1e-6, "limit"
-        self.to_node[node].append((now, ask.units))
-        if self.started_at[node] and now - self.started_at[node] < safety.slow_start_window_s:
-            window = safety.overload_window_s
-            sent = sum(units for time, units in self.to_node[node] if time > now - window)
-            usual = self.host.policy.usual.get(node, 0.0) * safety.overload_multiple
-            cores = 2 * safety.overload_multiple / self.pace * window
-            even = max(self.config.slow_start_units, cores) / self.config.gateway_count
-            own = max(even, usual * window) + self.config.max_request_units
-            assert sent <= own + 1e-6, "cold node"
-        self.out[name] = (self.sends[name], node, now, now + self.dice.choice([0.01, 0.05, 0.2, 1.0, 9.0]))
+            self.check_retry_budget(now)
+        else:
+            self.check_rate_limit(arrival, now)
+        self.to_node[node].append((now, arrival.units))
+        self.check_slow_start(node, now)
+        ends = now + self.dice.choice([0.01, 0.05, 0.2, 1.0, 9.0])
+        self.in_flight[name] = (self.sends[name], node, now, ends)
         self.sends[name] += 1
 
+    def check_effect(self, name: str, node: int, now: float) -> None:
+        if name not in self.ran:
+            return
+        kind = self.kind(name)
+        sent, home = self.ran[name]
+        assert kind.repeatability is not Repeatability.NON_IDEMPOTENT, "doubled effect"
+        if kind.repeatability is Repeatability.IDEMPOTENT_WITH_KEY:
+            assert now <= sent + kind.idempotency_window_s
+            assert kind.idempotency_scope is IdempotencyScope.ALL or node == home
+
+    def check_retry_budget(self, now: float) -> None:
+        window = self.safety.retry_budget_window_s
+        base = self.safety.retry_budget_base
+        ratio = self.safety.retry_budget_ratio
+        assert window is not None
+        assert base is not None
+        assert ratio is not None
+        self.extras.append(now)
+        recent = sum(time > now - window for time in self.taken)
+        used = sum(time > now - window for time in self.extras)
+        assert used <= base + ratio * recent, "retry budget"
+
+    def check_rate_limit(self, arrival: api.RequestArrived, now: float) -> None:
+        limited = PLANS[arrival.plan_index]
+        if not limited.rate_limit:
+            return
+        draws = self.drawn[arrival.volume_id]
+        draws.append((now, arrival.units))
+        for index, (start, _) in enumerate(draws):
+            drawn = sum(units for _, units in draws[index:])
+            allowed = (limited.rate_limit_burst + limited.rate_limit * (now - start)) / 2
+            assert drawn <= allowed + 1e-6, "rate limit"
+
+    def check_slow_start(self, node: int, now: float) -> None:
+        safety = self.safety
+        if not self.started_at[node] or now - self.started_at[node] >= safety.slow_start_window_s:
+            return
+        window = safety.overload_window_s
+        sent = sum(units for time, units in self.to_node[node] if time > now - window)
+        usual = self.driver.policy.state.nodes.shard_rates.get(node, 0.0) * safety.overload_multiple
+        cores = 2 * safety.overload_multiple / self.unit_time_s * window
+        even = max(self.config.slow_start_units, cores) / self.config.gateway_count
+        own = max(even, usual * window) + self.config.max_request_units
+        assert sent <= own + 1e-6, "slow start"
+
 
 @settings(max_examples=40, derandomize=True, deadline=None, database=None)
 @given(st.integers(min_value=0, max_value=2**32))
@@ -228,5 +263,5 @@
         world = World(3)
         for _ in range(300):
             world.step()
-        logs.append(world.host.log)
+        logs.append(world.driver.actions)
     assert logs[0] == logs[1]
--- /dev/null
+++ b/tests/policy/test_scheduling.py
@@ -0,0 +1,88 @@
+"""Which queued request goes to which node, and when."""
+
+from __future__ import annotations
+
+from storage_gateway import policy_api as api
+from tests.support.policy import (
+    PolicyDriver,
+    make_endpoint_entry,
+    make_plan,
+    make_request_class,
+    make_settings,
+)
+
+
+def test_idle_slots_are_borrowed_beyond_the_split() -> None:
+    driver = PolicyDriver(make_settings(plans=[make_plan(reserved_rate=0.0)]), [make_endpoint_entry(1, 1)])
+    driver.nodes[1].class_slots = [1]
+    for number in range(6):
+        driver.submit(f"r{number}")
+    assert driver.sent() == ["r0", "r1", "r2", "r3"]
+
+
+def test_a_class_within_its_split_goes_before_a_borrower() -> None:
+    unreserved = [make_plan(reserved_rate=0.0)]
+    driver = PolicyDriver(
+        make_settings(
+            [make_request_class(priority_weight=9.0), make_request_class(priority_weight=1.0)], unreserved
+        ),
+        [make_endpoint_entry(1, 1)],
+    )
+    driver.nodes[1].concurrency_limit = 2.0
+    driver.nodes[1].class_slots = [1, 1]
+    driver.step(driver.arrival("a"), driver.arrival("b"), driver.arrival("c", class_index=1))
+    assert driver.sent() == ["a", "c"]
+
+
+def test_new_objects_go_where_they_are_answered_soonest() -> None:
+    driver = PolicyDriver(make_settings(), [make_endpoint_entry(1, 1), make_endpoint_entry(2, 2)])
+    driver.nodes[1].queueing_delay_s, driver.nodes[2].queueing_delay_s = 0.2, 0.05
+    driver.step(driver.arrival("a", shard=-1), driver.arrival("b", shard=-1))
+    assert [action.node for action in driver.actions if isinstance(action, api.SendAttempt)] == [2, 2]
+
+
+def test_requests_inside_the_reservation_go_before_dearer_ones_beyond_it() -> None:
+    driver = PolicyDriver(
+        make_settings([make_request_class(priority_weight=2.0), make_request_class(priority_weight=3.0)]),
+        [make_endpoint_entry(1, 1)],
+    )
+    node = driver.nodes[1]
+    node.concurrency_limit, node.class_slots = 1.0, [1, 1]
+    driver.submit("out")
+    driver.volumes[1].reservation.level = 0.0
+    driver.step(driver.arrival("dear", class_index=1), driver.arrival("reserved", volume_id=2))
+    driver.end_attempt("out", api.AttemptOutcome.SERVED)
+    assert driver.sent()[:2] == ["out", "reserved"]
+
+
+def test_late_requests_wait_for_those_that_can_still_be_in_time() -> None:
+    driver = PolicyDriver(make_settings(plans=[make_plan(reserved_rate=0.0)]), [make_endpoint_entry(1, 1)])
+    driver.nodes[1].concurrency_limit = 1.0
+    driver.submit("out")
+    driver.submit("late", volume_id=2)
+    driver.now += 0.45
+    driver.submit("fresh", volume_id=3)
+    driver.end_attempt("out", api.AttemptOutcome.SERVED)
+    assert driver.sent()[:2] == ["out", "fresh"]
+
+
+def test_what_is_reserved_has_as_many_slots_again_and_no_more() -> None:
+    beyond = make_plan(reserved_rate=0.0)
+    driver = PolicyDriver(
+        make_settings(plans=[beyond, make_plan()], gateway_count=8), [make_endpoint_entry(1, 1)]
+    )
+    assert driver.nodes[1].concurrency_limit == 1.0
+    driver.step(driver.arrival("long", volume_id=1), driver.arrival("more", volume_id=2))
+    assert driver.sent() == ["long"], "beyond the reserve the limit holds"
+    driver.step(
+        driver.arrival("due", volume_id=3, plan_index=1),
+        driver.arrival("too many", volume_id=4, plan_index=1),
+    )
+    assert driver.sent() == ["long", "due"]
+
+
+def test_what_could_not_be_answered_in_its_client_s_time_is_rejected_unsent() -> None:
+    driver = PolicyDriver(make_settings(), [make_endpoint_entry(1, 1)])
+    driver.nodes[1].queueing_delay_s = 0.1
+    assert driver.submit("short", deadline=driver.now + 0.1) == [api.RejectRequest("short")]
+    assert driver.submit("long", deadline=driver.now + 0.2) == [api.SendAttempt("long", 1)]
--- a/tests/sftp/test_server.py
+++ b/tests/sftp/test_server.py
@@ -171,7 +171,7 @@
         )  # a host that starts has none of it to spare
         client = await self.begin(box := FakeSftpNode(), plan=plan, command_timeout_s=0.4)
         self.failed(await client.put("/plats/t1", b"scan"), p.Code.SSH_FX_FAILURE, "refused")
-        self.executor.policy.volumes[7].limit.level = 2.0
+        self.executor.policy.state.volumes.by_id[7].rate_limit.level = 2.0
         codes = [(await client.put(f"/plats/u{n}", b"scan")).code for n in range(4)]
         assert (codes.count(p.Code.SSH_FX_OK), sum(box.stored.values())) == (2, 2)
 
--- a/tests/support/policy.py
+++ b/tests/support/policy.py
@@ -6,7 +6,9 @@
 from typing import Any
 
 from storage_gateway import policy_api as api
-from storage_gateway.policy.policy import Policy
+from storage_gateway.policy import Policy
+from storage_gateway.policy_state import Node, Request
+from storage_gateway.policy_state.volume import Volume
 
 
 def make_request_class(**changes: Any) -> api.RequestClass:
@@ -75,40 +77,57 @@
 
 
 class PolicyDriver:
-    """One policy, its clock, and what it has out."""
+    """Drives one policy event by event: keeps its clock, its actions, and the attempts that it has sent."""
 
-    def __init__(self, config: api.Settings, nodes: list[api.EndpointEntry], now: float = 100.0) -> None:
-        self.policy = Policy(config)
+    def __init__(self, settings: api.Settings, nodes: list[api.EndpointEntry], now: float = 100.0) -> None:
+        self.policy = Policy(settings)
         self.now = now
-        self.log: list[api.Action] = []
-        self.shots: dict[str, int] = {}
+        self.actions: list[api.Action] = []
+        self.attempt_numbers: dict[str, int] = {}  # by request, of its latest attempt
         self.step(api.EndpointsChanged(api.EndpointUpdateKind.CACHED, nodes))
 
+    @property
+    def nodes(self) -> dict[int, Node]:
+        """The policy's records of nodes, by id."""
+        return self.policy.state.nodes.by_id
+
+    @property
+    def requests(self) -> dict[str, Request]:
+        """The policy's records of requests, by id."""
+        return self.policy.state.requests.by_id
+
+    @property
+    def volumes(self) -> dict[int, Volume]:
+        """The policy's records of volumes, by id."""
+        return self.policy.state.volumes.by_id
+
     def step(self, *events: api.Event, at: float | None = None) -> list[api.Action]:
-        """Feed a batch; returns its actions without the policy's own wake-ups."""
+        """Feed a batch of events; returns its actions without the policy's own timers."""
         if at is not None:
             self.now = at
         actions = self.policy.step(self.now, list(events))
         actions = [action for action in actions if not isinstance(action, api.SetTimer)]
         for action in actions:
             if isinstance(action, api.SendAttempt):
-                self.shots[action.request_id] = self.shots.get(action.request_id, -1) + 1
-        self.log += actions
+                self.attempt_numbers[action.request_id] = self.attempt_numbers.get(action.request_id, -1) + 1
+        self.actions += actions
         return actions
 
     def run_until(self, end: float) -> list[api.Action]:
-        """Let time pass, a tick a step."""
+        """Let time pass in steps of 20 ms."""
         actions: list[api.Action] = []
         while self.now < end:
             actions += self.step(api.TimerFired(0), at=min(end, self.now + 0.02))
         return actions
 
-    def ask(self, request: str, **changes: Any) -> list[api.Action]:
-        return self.step(self.arrival(request, **changes))
+    def submit(self, request_id: str, **changes: Any) -> list[api.Action]:
+        """Let a request arrive now."""
+        return self.step(self.arrival(request_id, **changes))
 
-    def arrival(self, request: str, **changes: Any) -> api.RequestArrived:
+    def arrival(self, request_id: str, **changes: Any) -> api.RequestArrived:
+        """Make the event of a request that arrives now: of one unit, for shard 1, with two seconds left."""
         base = api.RequestArrived(
-            request_id=request,
+            request_id=request_id,
             class_index=0,
             plan_index=0,
             volume_id=1,
@@ -120,18 +139,37 @@
         )
         return replace(base, **changes)
 
-    def end(
-        self, request: str, outcome: api.AttemptOutcome, node: int = 1, spent: float = 0.05, **changes: Any
+    def end_attempt(
+        self,
+        request_id: str,
+        outcome: api.AttemptOutcome,
+        node: int = 1,
+        elapsed_s: float = 0.05,
+        **changes: Any,
     ) -> list[api.Action]:
+        """Let the latest attempt of a request end now."""
         base = api.AttemptEnded(
-            request_id=request,
-            attempt=self.shots[request],
+            request_id=request_id,
+            attempt=self.attempt_numbers[request_id],
             node=node,
             outcome=outcome,
-            elapsed_s=spent,
+            elapsed_s=elapsed_s,
             request_settled=outcome is api.AttemptOutcome.SERVED,
         )
         return self.step(replace(base, **changes))
 
+    def attempts_in_flight(self, node: int) -> int:
+        """Return how many attempts are in flight at this node."""
+        attempts = [attempt for request in self.requests.values() for attempt in request.in_flight.values()]
+        return sum(attempt.node.node_id == node for attempt in attempts)
+
+    def end_all_attempts(self, elapsed_s: float) -> None:
+        """Let every attempt in flight be served now, by the node that it was sent to."""
+        for request in [request for request in self.requests.values() if request.in_flight]:
+            (attempt,) = request.in_flight.values()
+            node = attempt.node.node_id
+            self.end_attempt(request.request_id, api.AttemptOutcome.SERVED, node=node, elapsed_s=elapsed_s)
+
     def sent(self) -> list[str]:
-        return [action.request_id for action in self.log if isinstance(action, api.SendAttempt)]
+        """Return the requests of all attempts so far, in order."""
+        return [action.request_id for action in self.actions if isinstance(action, api.SendAttempt)]
