--- a/storage_gateway/http/node_client.py
+++ b/storage_gateway/http/node_client.py
@@ -24,7 +24,7 @@
     decode_outcome,
     encode_attempt,
 )  # fmt: skip
-from storage_gateway.http.sockets import unread
+from storage_gateway.http.sockets import has_unread_data
 from storage_gateway.lifecycle import AttemptResult
 from storage_gateway.policy_api import AttemptOutcome
 
@@ -97,7 +97,7 @@
         """Open, and nothing has come that the loop has not read yet."""
         if self.transport is None or self.transport.is_closing():
             return False
-        return not unread(self.transport)
+        return not has_unread_data(self.transport)
 
     async def exchange(self, request: bytes) -> NodeResponse:
         if self.transport is None or self.transport.is_closing():
--- a/storage_gateway/http/server.py
+++ b/storage_gateway/http/server.py
@@ -17,9 +17,11 @@
 from storage_gateway import policy_api as api
 from storage_gateway.config import Address, GatewayConfig
 from storage_gateway.errors import ProtocolError
+from storage_gateway.http.graceful_transport import GracefulTransport
+from storage_gateway.http.listener import Listener
 from storage_gateway.http.messages import MOST_BODY, ClientRequest, decode_request
 from storage_gateway.http.node_client import NodeClient
-from storage_gateway.http.sockets import GracefulTransport, Listener, gone, unread
+from storage_gateway.http.sockets import has_unread_data, peer_has_closed
 from storage_gateway.lifecycle import AttemptResult, Failed, Rejected, RequestExecutor, Served
 
 IDLE = 2.1  # seconds that a client's connection may stand without a request
@@ -55,14 +57,14 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         self.front.forget(self)
         if self.graceful:
-            self.graceful.lost()
+            self.graceful.connection_lost()
         super().connection_lost(exc)
 
     def evictable(self) -> bool:
         """No request is on its way here as far as anyone can see, and no answer is being written."""
         if self.graceful is None or self.graceful.is_closing() or not self.waits():
             return False
-        return not self.began and not self.graceful.get_write_buffer_size() and not unread(self.graceful)
+        return not self.began and not self.graceful.get_write_buffer_size() and not has_unread_data(self.graceful)
 
     def waits(self) -> bool:
         return self._waiter is not None and not self._waiter.done()
@@ -104,7 +106,7 @@
 
     def has_left(self) -> bool:
         """The client has closed, as far as the kernel knows at this moment."""
-        return self.graceful is None or self.graceful.is_closing() or gone(self.connection)
+        return self.graceful is None or self.graceful.is_closing() or peer_has_closed(self.connection)
 
     def _process_keepalive(self) -> None:
         """Close an idle connection, but let a head that has begun to come be read to its end."""
--- a/tests/http/test_races.py
+++ b/tests/http/test_races.py
@@ -12,7 +12,7 @@
 from aiohttp import web
 
 from storage_gateway import policy_api as api
-from storage_gateway.http.sockets import gone
+from storage_gateway.http.sockets import peer_has_closed
 from storage_gateway.lifecycle import ATTEMPT_MARGIN_S, AttemptResult
 from tests.support.http import HttpServerCase
 from tests.support.peers import make_response
@@ -240,11 +240,11 @@
         ours, theirs = socket.socketpair(socket.AF_UNIX)
         ours.setblocking(False)
         self.addCleanup(ours.close)
-        assert not gone(ours)
+        assert not peer_has_closed(ours)
         theirs.sendall(b"more")
-        assert not gone(ours)
+        assert not peer_has_closed(ours)
         theirs.close()
-        assert gone(ours)
+        assert peer_has_closed(ours)
 
 
 class Attempts(CrossingCase):
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -169,7 +169,7 @@
             young = [await self.raw() for _ in range(2)]
             await self.until(lambda: len(self.front.clients) == 2)
             waiting = await self.raw(self.head("t"))
-            await self.until(lambda: self.front.listener and self.front.listener.timer)  # it waits for room
+            await self.until(lambda: self.front.listener and self.front.listener.resume_timer)  # it waits for room
         for one in self.front.silent:
             one.came = 0.0
         for place, (_, writer) in enumerate(young):
