Cut the messages into request_codec and response_parser, with decode_request in small checks

messages.py held the codecs of both directions, and decode_request had a complexity over 10. Each codec now has a module; the checks of a request are functions of their own, in the order in which they ran, with the texts that go to the client. aiohttp's response parser is made in aiohttp_internals.

--- a/storage_gateway/http/node_client.py
+++ b/storage_gateway/http/node_client.py
@@ -16,14 +16,13 @@
 from storage_gateway.config import Address
 from storage_gateway.endpoints.registry import EndpointRegistry
 from storage_gateway.errors import InvalidResponseError
-from storage_gateway.http.messages import (
-    ClientRequest,
+from storage_gateway.http.request_codec import ClientRequest, encode_attempt
+from storage_gateway.http.response_parser import (
     NodeResponse,
     ResponseParser,
-    decode_elsewhere,
     decode_outcome,
-    encode_attempt,
-)  # fmt: skip
+    decode_units_elsewhere,
+)
 from storage_gateway.http.sockets import has_unread_data
 from storage_gateway.lifecycle import AttemptResult
 from storage_gateway.policy_api import AttemptOutcome
@@ -69,7 +68,7 @@
             return
         if answer:
             self.answer.set_result(answer)
-        elif self.gap is None or self.reader.message:
+        elif self.gap is None or self.reader.head_is_complete:
             if self.gap:
                 self.gap.cancel()
             self.gap = self.loop.call_later(GAP, self.fail, InvalidResponseError("it does not end"))
@@ -179,11 +178,11 @@
             outcome = decode_outcome(answer.status, answer.headers)
             if outcome is not AttemptOutcome.SERVED:
                 return AttemptResult(outcome)
-            return AttemptResult(outcome, answer.body, decode_elsewhere(answer.headers))
+            return AttemptResult(outcome, answer.body, decode_units_elsewhere(answer.headers))
         except (OSError, TimeoutError):
             return AttemptResult(AttemptOutcome.CONNECT_FAILED)
         finally:
-            reusable = unused or (answer is not None and answer.reusable)
+            reusable = unused or (answer is not None and answer.is_reusable)
             if connection and reusable and connection.usable() and not pool.retired:
                 self.give_back(pool, connection)
             else:
--- a/storage_gateway/http/server.py
+++ b/storage_gateway/http/server.py
@@ -14,13 +14,12 @@
 from aiohttp.http import RawRequestMessage
 from aiohttp.web_protocol import RequestHandler
 
-from storage_gateway import policy_api as api
 from storage_gateway.config import Address, GatewayConfig
 from storage_gateway.errors import ProtocolError
 from storage_gateway.http.graceful_transport import GracefulTransport
 from storage_gateway.http.listener import Listener
-from storage_gateway.http.messages import MOST_BODY, ClientRequest, decode_request
 from storage_gateway.http.node_client import NodeClient
+from storage_gateway.http.request_codec import MAX_BODY_BYTES, ClientRequest, decode_request
 from storage_gateway.http.sockets import has_unread_data, peer_has_closed
 from storage_gateway.lifecycle import AttemptResult, Failed, Rejected, RequestExecutor, Served
 
@@ -163,7 +162,7 @@
         task: asyncio.Task[None],
     ) -> web.BaseRequest:
         return web.BaseRequest(
-            message, payload, protocol, writer, task, self.executor.loop, client_max_size=MOST_BODY
+            message, payload, protocol, writer, task, self.executor.loop, client_max_size=MAX_BODY_BYTES
         )
 
     def listen(self) -> None:
@@ -226,7 +225,7 @@
             return web.Response(status=404)
         if request.method not in ("GET", "PUT"):
             return web.Response(status=405)
-        if (request.content_length or 0) > MOST_BODY:
+        if (request.content_length or 0) > MAX_BODY_BYTES:
             return web.Response(status=413)  # at once: none of it is read
         try:
             async with asyncio.timeout(BODY):
@@ -260,17 +259,7 @@
         async def attempt(node: int) -> AttemptResult[bytes]:
             return await self.boxes.attempt(node, ask, left)
 
-        arrival = api.RequestArrived(
-            request_id=self.executor.new_request_id(),
-            class_index=ask.class_index,
-            plan_index=ask.plan_index,
-            volume_id=ask.volume_id,
-            object_key=ask.object_key,
-            shard=ask.shard,
-            units=ask.units,
-            deadline=deadline,
-            gateway_count=ask.gateway_count,
-        )
+        arrival = ask.to_arrival(self.executor.new_request_id(), deadline)
         match await self.executor.execute(arrival, attempt):
             case Served(body):
                 return web.Response(body=body)
--- a/tests/support/http.py
+++ b/tests/support/http.py
@@ -9,8 +9,8 @@
 import aiohttp
 
 from storage_gateway.endpoints.registry import EndpointRegistry
-from storage_gateway.http.messages import ClientRequest
 from storage_gateway.http.node_client import NodeClient
+from storage_gateway.http.request_codec import ClientRequest
 from storage_gateway.http.server import HttpServer
 from storage_gateway.lifecycle import RequestExecutor
 from tests.support.peers import FakeHttpNode, apply_endpoints, make_config, make_endpoint
