Cut the node client into node_connection, pool and node_client

node_client.py held the connection's protocol, the pool and the attempts, and the client kept the pools' books. A pool now takes out, puts back and closes its own connections; the count over all pools is one shared record. A connection that ended before its first byte raises NotSentError in place of a bare ConnectionError; the outcome stays CONNECT_FAILED.

--- a/storage_gateway/http/node_client.py
+++ b/storage_gateway/http/node_client.py
@@ -1,234 +1,164 @@
-"""Attempts over HTTP: a pool of connections for each box, and what each ending proves.
-
-The connections are asyncio protocols of our own, read by aiohttp's parser. aiohttp's client could not keep
-the rule that a client gets the answer made for its request: bytes that come while a connection is pooled it
-keeps and reads as the next request's answer, and noise in one piece with a good answer costs that answer. It
-also resends by itself, and knows no bound for idle connections over all boxes.
-"""
+"""The client of the storage nodes: one attempt is one exchange, and its result says what that proves."""
 
 from __future__ import annotations
 
 import asyncio
-from collections import deque
 from collections.abc import Callable
-from functools import partial
 
-from storage_gateway.config import Address
 from storage_gateway.endpoints.registry import EndpointRegistry
-from storage_gateway.errors import InvalidResponseError
+from storage_gateway.errors import InvalidResponseError, NotSentError
+from storage_gateway.http.node_connection import NodeConnection
+from storage_gateway.http.pool import ConnectionCount, ConnectionPool
 from storage_gateway.http.request_codec import ClientRequest, encode_attempt
-from storage_gateway.http.response_parser import (
-    NodeResponse,
-    ResponseParser,
-    decode_outcome,
-    decode_units_elsewhere,
-)
-from storage_gateway.http.sockets import has_unread_data
+from storage_gateway.http.response_parser import NodeResponse, decode_outcome, decode_units_elsewhere
 from storage_gateway.lifecycle import AttemptResult
 from storage_gateway.policy_api import AttemptOutcome
 
-IDLE_SHARE = 0.5  # of the boxes' idle limit, after which a pooled connection is dropped
-REST = 0.02  # seconds that a connection rests after an answer, so that what comes behind that is noticed
-GAP = 0.05  # seconds for the head of an answer, once it has begun, and between the pieces of its body
-
-
-class Connection(asyncio.Protocol):
-    """A connection to a box; it carries one exchange at a time."""
-
-    def __init__(self) -> None:
-        self.loop = asyncio.get_running_loop()
-        self.transport: asyncio.Transport | None = None
-        self.reader: ResponseParser | None = None  # of the answer that is awaited
-        self.answer: asyncio.Future[NodeResponse] | None = None
-        self.gap: asyncio.TimerHandle | None = None
-        self.expiry: asyncio.TimerHandle | None = None
-        self.unwritten = False  # a part of the request is still here
-        self.rested_at = 0.0
-        self.left: Callable[[], None] | None = None  # while it is pooled: what to do when it ends
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self.transport = transport
-        transport.set_write_buffer_limits(0)  # pause_writing then says that the last byte has not left
-
-    def pause_writing(self) -> None:
-        self.unwritten = True
-
-    def resume_writing(self) -> None:
-        self.unwritten = False
-
-    def data_received(self, data: bytes) -> None:
-        if self.reader is None or self.answer is None or self.answer.done():
-            self.abort()  # nothing is awaited: these bytes must never become the next request's answer
-            return
-        try:
-            answer = self.reader.feed(data)
-        except InvalidResponseError as error:
-            self.fail(error)
-            return
-        if answer:
-            self.answer.set_result(answer)
-        elif self.gap is None or self.reader.head_is_complete:
-            if self.gap:
-                self.gap.cancel()
-            self.gap = self.loop.call_later(GAP, self.fail, InvalidResponseError("it does not end"))
-
-    def eof_received(self) -> None:
-        self.fail(InvalidResponseError("the connection ended"))
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self.transport = None
-        self.fail(InvalidResponseError("the connection broke"))
-
-    def fail(self, error: InvalidResponseError) -> None:
-        if self.answer and not self.answer.done():
-            self.answer.set_exception(error)
-        self.abort()
-
-    def abort(self) -> None:
-        """At once: close() would first write what is still buffered."""
-        if self.left:
-            self.left()
-        if self.transport:
-            self.transport.abort()
-
-    def usable(self) -> bool:
-        """Open, and nothing has come that the loop has not read yet."""
-        if self.transport is None or self.transport.is_closing():
-            return False
-        return not has_unread_data(self.transport)
-
-    async def exchange(self, request: bytes) -> NodeResponse:
-        if self.transport is None or self.transport.is_closing():
-            raise ConnectionError("it ended before the first byte")  # so nothing ran
-        self.reader, self.answer = ResponseParser(), self.loop.create_future()
-        self.transport.write(request)
-        try:
-            return await self.answer
-        finally:
-            self.reader = self.answer = None
-            if self.gap:
-                self.gap.cancel()
-                self.gap = None
-
-
-class ConnectionPool:
-    """The idle connections to one life of one box, the longest rested first."""
-
-    def __init__(self, address: Address) -> None:
-        self.address, self.retired = address, False
-        self.idle: deque[Connection] = deque()
+IDLE_TIMEOUT_FRACTION = 0.5  # of the nodes' idle timeout, after which a pooled connection is closed
 
 
 class NodeClient:
-    """Attempts at the boxes of the directory. ``most`` bounds the connections to all of them."""
+    """Makes attempts at the registry's endpoints, over pooled connections.
+
+    Args:
+        registry: the endpoints; a change retires the pool of its node.
+        connect_timeout_s: seconds for a connection to come up.
+        idle_close_s: seconds after which the nodes close an idle connection.
+        max_connections: number of connections to all nodes beyond which idle ones are closed.
+    """
 
     def __init__(
-        self, registry: EndpointRegistry, connect_timeout_s: float, idle_close_s: float, most: int
+        self,
+        registry: EndpointRegistry,
+        connect_timeout_s: float,
+        idle_close_s: float,
+        max_connections: int,
     ) -> None:
-        self.registry, self.connect_timeout_s, self.most = registry, connect_timeout_s, most
-        self.keep = idle_close_s * IDLE_SHARE
         self.pools: dict[int, ConnectionPool] = {}
-        self.open = 0  # connections, those that come up included
-        self.dials, self.dial_failures = 0, 0  # since the last report
-        registry.listeners.append(self.changed)
-
-    def changed(self, node: int) -> None:
-        """The box drains, went or started anew: no connection to the old one is used again."""
-        if pool := self.pools.pop(node, None):
-            pool.retired = True
-            while pool.idle:
-                self.drop(pool, pool.idle[0])
-
-    def drop(self, pool: ConnectionPool, connection: Connection) -> None:
-        """An idle connection has been so for long, or is in the way."""
-        self.take_out(pool, connection)
-        connection.abort()
-
-    def take_out(self, pool: ConnectionPool, connection: Connection) -> None:
-        pool.idle.remove(connection)
-        self.open -= 1
-        connection.left = None
-        if connection.expiry:
-            connection.expiry.cancel()
-
-    async def attempt(self, node: int, ask: ClientRequest, left: Callable[[], float]) -> AttemptResult[bytes]:
-        """Send the request to the box, once; any ending that is not proven harmless may have run. ``left``
-        says how many seconds there are for it, none once nobody waits for the answer.
+        self.dials = 0  # since the last status line
+        self.dial_failures = 0
+        self._registry = registry
+        self._connect_timeout_s = connect_timeout_s
+        self._idle_timeout_s = idle_close_s * IDLE_TIMEOUT_FRACTION
+        self._max_connections = max_connections
+        self._connection_count = ConnectionCount()
+        registry.listeners.append(self._retire_pool)
+
+    @property
+    def open_connections(self) -> int:
+        """The number of connections to all nodes: in use, idle or being opened."""
+        return self._connection_count.open
+
+    async def attempt(
+        self, node: int, request: ClientRequest, time_left: Callable[[], float]
+    ) -> AttemptResult[bytes]:
+        """Send the request to the node, once.
+
+        Args:
+            node: the node's id in the registry.
+            request: the client's request.
+            time_left: returns the seconds that remain for the attempt, 0 once nobody waits for it.
+
+        Returns:
+            The result; only an outcome that proves it says that the node has not executed the request.
         """
-        if not self.registry.is_serving(node):
+        if not self._registry.is_serving(node):
             return AttemptResult(AttemptOutcome.NOT_SENT)
         pool = self.pools.get(node)
         if pool is None:
-            pool = self.pools[node] = ConnectionPool(self.registry.endpoints[node].address)
-        connection, answer, unused = None, None, False
-        self.open += 1
+            pool = self._add_pool(node)
+        connection: NodeConnection | None = None
+        is_reusable = False
+        self._connection_count.open += 1
         try:
-            connection = self.rested(pool) or await self.dial(pool)
-            wait = left()  # the last look before the first byte: much may have come while it was dialled
-            if pool.retired or wait <= 0:
-                unused = not pool.retired
+            connection = pool.acquire() or await self.dial(pool)
+            # The last check before the first byte: the node may have begun to drain, or the client may have
+            # left, while the connection came up.
+            time_left_s = time_left()
+            if pool.is_retired or time_left_s <= 0:
+                is_reusable = True  # it was not used; a retired pool does not take it back
                 return AttemptResult(AttemptOutcome.NOT_SENT)
             try:
-                answer = await connection.exchange(encode_attempt(ask, pool.address, wait))
+                response = await connection.exchange(encode_attempt(request, pool.address, time_left_s))
             except InvalidResponseError:
+                # A node does not run a request that has not come whole.
+                unsent = connection.has_unsent_data
                 return AttemptResult(
-                    AttemptOutcome.CONNECT_FAILED if connection.unwritten else AttemptOutcome.CONNECTION_RESET
+                    AttemptOutcome.CONNECT_FAILED if unsent else AttemptOutcome.CONNECTION_RESET
                 )
-            outcome = decode_outcome(answer.status, answer.headers)
-            if outcome is not AttemptOutcome.SERVED:
-                return AttemptResult(outcome)
-            return AttemptResult(outcome, answer.body, decode_units_elsewhere(answer.headers))
-        except (OSError, TimeoutError):
+            is_reusable = response.is_reusable
+            return _decode_result(response)
+        except (OSError, TimeoutError, NotSentError):
             return AttemptResult(AttemptOutcome.CONNECT_FAILED)
         finally:
-            reusable = unused or (answer is not None and answer.is_reusable)
-            if connection and reusable and connection.usable() and not pool.retired:
-                self.give_back(pool, connection)
-            else:
-                self.open -= 1
-                if connection:
-                    connection.abort()
-
-    def rested(self, pool: ConnectionPool) -> Connection | None:
-        """An idle connection. One with bytes that nobody awaits, seen by the loop or not yet, is none."""
-        now = asyncio.get_running_loop().time()
-        while pool.idle and pool.idle[0].rested_at <= now:
-            connection = pool.idle[0]
-            self.take_out(pool, connection)
-            if connection.usable():
-                return connection
-            connection.abort()
-        return None
-
-    async def dial(self, pool: ConnectionPool) -> Connection:
-        if self.open > self.most:  # as many are kept as clients can have requests: an idle one is in the way
-            for other in self.pools.values():
-                if other.idle:
-                    self.drop(other, other.idle[0])
-                    break
+            self._release(pool, connection, is_reusable)
+
+    async def dial(self, pool: ConnectionPool) -> NodeConnection:
+        """Open a connection to the pool's endpoint.
+
+        Raises:
+            OSError: if the node refuses it or cannot be reached.
+            TimeoutError: if it does not come up in time.
+        """
+        # There are as many connections as clients can have requests: at the limit an idle one is in the way.
+        if self._connection_count.open > self._max_connections:
+            self._close_an_idle_connection()
         self.dials += 1
+        loop = asyncio.get_running_loop()
+        address = pool.address
         try:
-            async with asyncio.timeout(self.connect_timeout_s):
-                loop = asyncio.get_running_loop()
-                _, connection = await loop.create_connection(Connection, pool.address.host, pool.address.port)
+            async with asyncio.timeout(self._connect_timeout_s):
+                _, connection = await loop.create_connection(NodeConnection, address.host, address.port)
         except (OSError, TimeoutError):
             self.dial_failures += 1
             raise
         return connection
 
     def status_fields(self) -> dict[str, object]:
-        """For the log: connections, and those that were dialled since the last call."""
-        dials, failures, self.dials, self.dial_failures = self.dials, self.dial_failures, 0, 0
-        return {"connections": self.open, "dials": dials, "dial_failures": failures}
-
-    def give_back(self, pool: ConnectionPool, connection: Connection) -> None:
-        loop = asyncio.get_running_loop()
-        connection.rested_at = loop.time() + REST
-        connection.expiry = loop.call_later(self.keep, self.drop, pool, connection)
-        connection.left = partial(self.take_out, pool, connection)
-        pool.idle.append(connection)
+        """Return fields for the status line: connections, and those dialled since the last call."""
+        fields: dict[str, object] = {
+            "connections": self._connection_count.open,
+            "dials": self.dials,
+            "dial_failures": self.dial_failures,
+        }
+        self.dials = 0
+        self.dial_failures = 0
+        return fields
 
     def close(self) -> None:
+        """Close the idle connections; those in use end with their exchange."""
         for node in list(self.pools):
-            self.changed(node)
+            self._retire_pool(node)
+
+    def _add_pool(self, node: int) -> ConnectionPool:
+        address = self._registry.endpoints[node].address
+        pool = ConnectionPool(address, self._idle_timeout_s, self._connection_count)
+        self.pools[node] = pool
+        return pool
+
+    def _retire_pool(self, node: int) -> None:
+        """The endpoint drains, went or started anew: no connection to its old life is used again."""
+        pool = self.pools.pop(node, None)
+        if pool is not None:
+            pool.retire()
+
+    def _release(self, pool: ConnectionPool, connection: NodeConnection | None, is_reusable: bool) -> None:
+        if connection and is_reusable and connection.is_usable() and not pool.is_retired:
+            pool.release(connection)
+            return
+        self._connection_count.open -= 1
+        if connection:
+            connection.abort()
+
+    def _close_an_idle_connection(self) -> None:
+        for pool in self.pools.values():
+            if pool.idle:
+                pool.close_oldest()
+                return
+
+
+def _decode_result(response: NodeResponse) -> AttemptResult[bytes]:
+    outcome = decode_outcome(response.status, response.headers)
+    if outcome is not AttemptOutcome.SERVED:
+        return AttemptResult(outcome)
+    return AttemptResult(outcome, response.body, decode_units_elsewhere(response.headers))
--- a/tests/http/test_node_client.py
+++ b/tests/http/test_node_client.py
@@ -5,7 +5,7 @@
 from typing import Any
 from unittest import mock
 
-from storage_gateway.http import node_client as boxes_module
+from storage_gateway.http import node_connection, pool
 from storage_gateway.lifecycle import AttemptResult
 from storage_gateway.policy_api import AttemptOutcome, EndpointState
 from tests.support.http import HttpServerCase, make_client_request
@@ -20,8 +20,8 @@
         await self.begin(script)
         real = self.boxes.dial
 
-        async def late(pool: Any) -> Any:
-            connection = await real(pool)
+        async def late(pool_: Any) -> Any:
+            connection = await real(pool_)
             apply_endpoints(self.registry, make_endpoint("s-a", self.box.port, EndpointState.DRAINING))
             return connection
 
@@ -50,15 +50,15 @@
         await self.begin(script)
         real = self.boxes.dial
 
-        async def short(pool: Any) -> Any:
-            connection = await real(pool)
+        async def short(pool_: Any) -> Any:
+            connection = await real(pool_)
             connection.abort()
             return connection
 
         with mock.patch.object(self.boxes, "dial", short):
             found = await self.boxes.attempt(1, make_client_request("t", "PUT", b"scan"), lambda: 1.0)
         assert found == AttemptResult(AttemptOutcome.CONNECT_FAILED)
-        assert (self.box.counts["t"], self.boxes.open) == (0, 0)
+        assert (self.box.counts["t"], self.boxes.open_connections) == (0, 0)
 
     async def test_a_spoilt_answer_is_a_reset_that_may_have_run_and_ends_its_connection(self) -> None:
         good = make_response()
@@ -78,14 +78,14 @@
             return spoilt[int(trace)]
 
         await self.begin(script)
-        with mock.patch.object(boxes_module, "GAP", 0.05):
+        with mock.patch.object(node_connection, "INTER_READ_TIMEOUT_S", 0.05):
             for place, text in enumerate(spoilt):
                 found = await self.boxes.attempt(
                     1, make_client_request(str(place), "PUT", b"scan"), lambda: 1.0
                 )
                 assert found == AttemptResult(AttemptOutcome.CONNECTION_RESET), text[:80]
         assert set(self.box.counts.values()) == {1}
-        assert (self.box.accepted, self.boxes.open) == (len(spoilt), 0)
+        assert (self.box.accepted, self.boxes.open_connections) == (len(spoilt), 0)
 
     async def test_a_good_answer_is_served_whatever_comes_with_it_and_only_that(self) -> None:
         good = make_response(
@@ -101,11 +101,11 @@
             return cases[int(trace)]
 
         await self.begin(script)
-        with mock.patch.object(boxes_module, "REST", 0.0):
+        with mock.patch.object(pool, "SETTLE_TIME_S", 0.0):
             for place in range(len(cases)):
                 found = await self.boxes.attempt(1, make_client_request(str(place)), lambda: 1.0)
                 assert found == AttemptResult(AttemptOutcome.SERVED, b"tile" * (70000 if place == 2 else 1))
-                assert self.boxes.open == int(place < 3), "what brought more is not used again"
+                assert self.boxes.open_connections == int(place < 3), "what brought more is not used again"
 
     async def test_bytes_that_come_while_a_connection_is_pooled_are_not_the_next_answer(self) -> None:
         async def script(trace: str) -> bytes:
@@ -116,14 +116,14 @@
             found = await self.boxes.attempt(1, make_client_request(trace), lambda: 1.0)
             assert found == AttemptResult(AttemptOutcome.SERVED, trace.encode())
             (line,) = self.boxes.pools[1].idle
-            line.rested_at = 0.0
+            line.settled_at = 0.0
             (writer,) = self.box.writers
             # It goes to the kernel at once; without a turn of the loop, nobody has read it yet.
             writer.write(make_response(200, b"stale"))
             if read:
-                await self.until(lambda: self.boxes.open == 0)
+                await self.until(lambda: self.boxes.open_connections == 0)
             else:
-                assert not line.usable()
+                assert not line.is_usable()
         assert self.box.accepted == 3
 
     async def test_a_connection_rests_after_an_answer_and_idle_ones_make_room_at_the_bound(self) -> None:
@@ -134,14 +134,14 @@
         apply_endpoints(
             self.registry, make_endpoint("s-a", self.box.port), make_endpoint("s-b", self.box.port, shard=1)
         )
-        with mock.patch.object(boxes_module, "REST", 60):
+        with mock.patch.object(pool, "SETTLE_TIME_S", 60):
             for trace in "ab":  # the first one rests, so that the second takes another
                 await self.boxes.attempt(1, make_client_request(trace), lambda: 1.0)
-            assert (self.box.accepted, self.boxes.open) == (2, 2)
+            assert (self.box.accepted, self.boxes.open_connections) == (2, 2)
             await self.boxes.attempt(2, make_client_request("c"), lambda: 1.0)
-            assert (self.boxes.open, len(self.boxes.pools[1].idle)) == (2, 1)
-        self.boxes.pools[1].idle[0].rested_at = 0.0
+            assert (self.boxes.open_connections, len(self.boxes.pools[1].idle)) == (2, 1)
+        self.boxes.pools[1].idle[0].settled_at = 0.0
         await self.boxes.attempt(1, make_client_request("d"), lambda: 1.0)
-        assert (self.box.accepted, self.boxes.open) == (3, 2)
+        assert (self.box.accepted, self.boxes.open_connections) == (3, 2)
         self.box.stop()  # the boxes close their idle connections
-        await self.until(lambda: self.boxes.open == 0)
+        await self.until(lambda: self.boxes.open_connections == 0)
--- a/tests/http/test_races.py
+++ b/tests/http/test_races.py
@@ -292,7 +292,7 @@
         await self.begin(prompt)
         found = await self.boxes.attempt(1, mock.Mock(), lambda: 0.0)
         assert found == AttemptResult(api.AttemptOutcome.NOT_SENT)
-        assert (self.boxes.open, len(self.boxes.pools[1].idle)) == (1, 1)
+        assert (self.boxes.open_connections, len(self.boxes.pools[1].idle)) == (1, 1)
 
     async def test_a_call_off_that_meets_the_attempt_s_own_timer_harms_no_other_request(self) -> None:
         await self.begin(prompt)
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -32,7 +32,7 @@
 
         await self.begin(script)
         await self.ask("warm")
-        self.boxes.pools[1].idle[0].rested_at = 0.0
+        self.boxes.pools[1].idle[0].settled_at = 0.0
         status, _ = await self.ask("broken", "PUT", b"scan")
         assert (status, self.box.counts["broken"]) == (502, 1)
         assert self.box.accepted == 1, "the broken one was the pooled connection"
