Cut the server into server, client_connection, connection_tracker and trace_ids

server.py held a connection's state, the books of all connections, the trace ids in use and the life of a request, and one function had seven returns. Each is a module now; the uses of aiohttp that its documentation does not promise stand in aiohttp_internals alone. The limits come once from the connection budget, which a reload never changes.

--- a/storage_gateway/http/__init__.py
+++ b/storage_gateway/http/__init__.py
@@ -1,1 +1,7 @@
-"""The platform's front: its HTTP protocol towards clients, boxes and discovery."""
+"""HTTP towards clients (server) and towards storage nodes (client)."""
+
+from storage_gateway.http.client_connection import LINGER_S
+from storage_gateway.http.node_client import NodeClient
+from storage_gateway.http.server import HttpServer
+
+__all__ = ["LINGER_S", "HttpServer", "NodeClient"]
--- a/storage_gateway/http/aiohttp_internals.py
+++ b/storage_gateway/http/aiohttp_internals.py
@@ -14,18 +14,28 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
+from aiohttp import StreamReader, web
+from aiohttp.abc import AbstractStreamWriter
 from aiohttp.base_protocol import BaseProtocol
-from aiohttp.http import HttpProcessingError, HttpResponseParser, RawResponseMessage
+from aiohttp.http import HttpProcessingError, HttpResponseParser, RawRequestMessage, RawResponseMessage
 
 __all__ = [
     "AIOHTTP_VERSION",
     "HttpProcessingError",
     "HttpResponseParser",
+    "InspectableRequestHandler",
     "RawResponseMessage",
+    "make_request_factory",
     "make_response_parser",
 ]
 
+RequestFactory = Callable[
+    [RawRequestMessage, StreamReader, web.RequestHandler, AbstractStreamWriter, "asyncio.Task[None]"],
+    web.BaseRequest,
+]
+
 AIOHTTP_VERSION = "3.14.5"  # the version that this module was read against
 
 
@@ -47,3 +57,55 @@
         max_line_size=max_head_bytes,
         max_field_size=max_head_bytes,
     )
+
+
+def make_request_factory(loop: asyncio.AbstractEventLoop, max_body_bytes: int) -> RequestFactory:
+    """Return what ``web.Server`` makes its requests with, so that their bodies have a limit.
+
+    Args:
+        loop: the running event loop.
+        max_body_bytes: ``read()`` of a request raises ``web.HTTPRequestEntityTooLarge`` beyond it.
+    """
+
+    def make_request(
+        message: RawRequestMessage,
+        payload: StreamReader,
+        protocol: web.RequestHandler,
+        writer: AbstractStreamWriter,
+        task: asyncio.Task[None],
+    ) -> web.BaseRequest:
+        return web.BaseRequest(message, payload, protocol, writer, task, loop, client_max_size=max_body_bytes)
+
+    return make_request
+
+
+class InspectableRequestHandler(web.RequestHandler):
+    """aiohttp's protocol of a client's connection, with its state readable and its idle close deferrable."""
+
+    def loop_time(self) -> float:
+        """Return the time of the connection's event loop, in seconds."""
+        return self._loop.time()
+
+    def is_waiting_for_request(self) -> bool:
+        """Whether no request is in progress and none has been read completely enough to begin."""
+        return self._waiter is not None and not self._waiter.done()
+
+    def has_queued_requests(self) -> bool:
+        """Whether a request has been read whose handling has not begun, such as a pipelined one."""
+        return bool(self._messages)
+
+    def idle_close_delay_s(self, overdue_s: float) -> float:
+        """Return the seconds by which to defer the close of an idle connection; 0 closes it now.
+
+        Args:
+            overdue_s: seconds since the keep-alive timeout has passed.
+        """
+        return 0.0
+
+    def _process_keepalive(self) -> None:
+        overdue_s = self._loop.time() - self._next_keepalive_close_time
+        delay_s = self.idle_close_delay_s(overdue_s) if overdue_s >= 0 else 0.0
+        if delay_s:
+            self._keepalive_handle = self._loop.call_later(delay_s, self._process_keepalive)
+        else:
+            super()._process_keepalive()
--- a/storage_gateway/http/server.py
+++ b/storage_gateway/http/server.py
@@ -1,285 +1,193 @@
-"""The platform's front towards clients, on aiohttp's low-level server. It decides nothing."""
+"""The HTTP server towards clients, on aiohttp's low-level server; every decision is the policy's."""
 
 from __future__ import annotations
 
 import asyncio
 import socket
-from collections import deque
 from collections.abc import Callable
-from typing import Any
+from http import HTTPStatus
 
-import structlog
-from aiohttp import StreamReader, web
-from aiohttp.abc import AbstractStreamWriter
-from aiohttp.http import RawRequestMessage
-from aiohttp.web_protocol import RequestHandler
+from aiohttp import web
 
 from storage_gateway.config import Address, GatewayConfig
 from storage_gateway.errors import ProtocolError
-from storage_gateway.http.graceful_transport import GracefulTransport
+from storage_gateway.http.aiohttp_internals import make_request_factory
+from storage_gateway.http.client_connection import CLOSE_RETRY_INTERVAL_S, LINGER_S, ClientConnection
+from storage_gateway.http.connection_tracker import ConnectionTracker
 from storage_gateway.http.listener import Listener
 from storage_gateway.http.node_client import NodeClient
 from storage_gateway.http.request_codec import MAX_BODY_BYTES, ClientRequest, decode_request
-from storage_gateway.http.sockets import has_unread_data, peer_has_closed
+from storage_gateway.http.trace_ids import TraceIdRegistry
 from storage_gateway.lifecycle import AttemptResult, Failed, Rejected, RequestExecutor, Served
 
-IDLE = 2.1  # seconds that a client's connection may stand without a request
-HEAD = 0.6  # seconds for the rest of a head whose first byte has come, where IDLE ends amid it
-BODY = 1.5  # seconds for a body to come
-MOST_HEAD = 4096  # bytes of a line or a field of a head
-MOST_FIELDS = 64
-DRAIN = 0.25  # seconds for a client to read its last answer and close, its own bytes read and dropped
-AGAIN = 0.02  # seconds until the next look at a connection that could not be closed yet
-UNREAD = 3.0  # seconds for a client to read an answer that the kernel does not take whole
-SILENT = 0.03  # seconds after which a connection that has not spoken may make room for another
-REMEMBERED = 2.0  # seconds after its answer for which an id still counts as taken
-log = structlog.get_logger()
-
-
-class Client(RequestHandler):
-    """A client's connection: aiohttp's, and the guards that it lacks against clients that behave badly."""
-
-    def __init__(self, front: HttpServer, connection: socket.socket, **settings: Any) -> None:
-        super().__init__(front.server, loop=front.executor.loop, **settings)
-        self.front, self.connection = front, connection
-        self.graceful: GracefulTransport | None = None
-        self.came = self._loop.time()
-        self.began = 0.0  # when the first byte of a message came whose head is not whole yet; 0: none has
-        self.busy = self.whole = False  # a message is in hand; and nothing of it is still to come
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self.graceful = GracefulTransport(transport, DRAIN, UNREAD)
-        super().connection_made(self.graceful)
-        self.front.idle[self] = None
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        self.front.forget(self)
-        if self.graceful:
-            self.graceful.connection_lost()
-        super().connection_lost(exc)
-
-    def evictable(self) -> bool:
-        """No request is on its way here as far as anyone can see, and no answer is being written."""
-        if self.graceful is None or self.graceful.is_closing() or not self.waits():
-            return False
-        return not self.began and not self.graceful.get_write_buffer_size() and not has_unread_data(self.graceful)
-
-    def waits(self) -> bool:
-        return self._waiter is not None and not self._waiter.done()
-
-    def stalled(self) -> bool:
-        """A head has begun, but its rest does not come."""
-        return 0 < self.began <= self._loop.time() - HEAD
-
-    def data_received(self, data: bytes) -> None:
-        if self.graceful is None or self.graceful.is_closing():
-            return  # behind the last answer: read, so that the close resets nothing, and dropped
-        if self.whole:
-            # Guards the box and the next request: what comes behind a request before its answer is no
-            # message of this protocol, and may be hidden in a length that is wrong. It ends here.
-            self.evict()
-            return
-        super().data_received(data)
-        if self._messages:
-            self.front.spoke(self)
-        elif not self.busy:
-            self.began = self.began or self._loop.time()
-
-    def crowded(self) -> bool:
-        """More than the message in hand has come."""
-        return bool(self._messages)
-
-    def take(self) -> None:
-        self.busy, self.began = True, 0.0
-
-    def give_back(self) -> None:
-        self.busy = self.whole = False
-        self.front.idle[self] = None
-
-    def evict(self) -> None:
-        """End the connection at once, whatever is in hand; an idle one is owed nothing."""
-        self.front.forget(self)
-        if self.graceful:
-            self.graceful.abort()
-
-    def has_left(self) -> bool:
-        """The client has closed, as far as the kernel knows at this moment."""
-        return self.graceful is None or self.graceful.is_closing() or peer_has_closed(self.connection)
-
-    def _process_keepalive(self) -> None:
-        """Close an idle connection, but let a head that has begun to come be read to its end."""
-        late = self._loop.time() - self._next_keepalive_close_time
-        if 0 <= late < UNREAD and self.waits() and not self.evictable() and not self.stalled():
-            self._keepalive_handle = self._loop.call_later(AGAIN, self._process_keepalive)
-        else:
-            super()._process_keepalive()
-
-    def force_close(self) -> None:
-        """An idle connection owes nothing, and a request that crosses its end is to find it closed."""
-        if self.graceful and (self.evictable() or self.stalled()):
-            self.graceful.abort()
-        super().force_close()
-
-    def handle_error(
-        self, request: web.BaseRequest, status: int = 500, exc: BaseException | None = None,
-        message: str | None = None,
-    ) -> web.StreamResponse:  # fmt: skip
-        """A message that cannot be read: aiohttp would log a trace for each, and clients may send floods."""
-        if status == 500:
-            log.error("answer_fault", exc_info=exc)
-        response = web.Response(status=status, text="unreadable message\n")
-        response.force_close()
-        return response
+REQUEST_PATH = "/api"
+READINESS_PATH = "/up"
+METHODS = ("GET", "PUT")
+BODY_TIMEOUT_S = 1.5  # for a request's body to come
+DRAIN = LINGER_S  # the name that service.py still imports
 
 
 class HttpServer:
-    """One listener. ``handle`` is the whole life of a message."""
+    """One listener, the clients' connections and the life of each request.
+
+    Args:
+        config: the gateway's configuration.
+        executor: runs each request as the policy says.
+        node_client: makes the attempts.
+        ready: whether this gateway instance may be sent requests.
+
+    Attributes:
+        address: the address listened on; once ``listen`` was called, with the port that the kernel chose.
+        connections: the clients' connections.
+        trace_ids: the trace ids that no other request may use for now.
+        listener: None before ``listen``.
+        is_closing: whether each response ends its connection.
+    """
 
     def __init__(
-        self, config: GatewayConfig, executor: RequestExecutor, boxes: NodeClient, ready: Callable[[], bool]
+        self,
+        config: GatewayConfig,
+        executor: RequestExecutor,
+        node_client: NodeClient,
+        ready: Callable[[], bool],
     ) -> None:
-        self.config, self.executor, self.boxes, self.ready = config, executor, boxes, ready
-        self.most_clients = config.connection_budget.client_connections
-        self.closing = False
-        self.server = web.Server(
-            self.handle, request_factory=self.make_request, handler_cancellation=True
-        )  # a client that closes is withdrawn
-        self.clients: set[Client] = set()
-        self.silent: dict[Client, None] = {}  # without a message so far, the oldest first
-        self.idle: dict[Client, None] = {}  # without a message in hand, the longest idle first
-        self.taken: set[str] = set()  # ids of open requests, and of those just over
-        self.over: deque[tuple[float, str]] = deque()  # when to forget which of them
-        self.listener: Listener | None = None
+        self.config = config
+        self.executor = executor
+        self.node_client = node_client
+        self.ready = ready
         self.address = config.listen
-
-    def make_request(
-        self,
-        message: RawRequestMessage,
-        payload: StreamReader,
-        protocol: RequestHandler,
-        writer: AbstractStreamWriter,
-        task: asyncio.Task[None],
-    ) -> web.BaseRequest:
-        return web.BaseRequest(
-            message, payload, protocol, writer, task, self.executor.loop, client_max_size=MAX_BODY_BYTES
+        self.is_closing = False
+        self.listener: Listener | None = None
+        self.trace_ids = TraceIdRegistry()
+        budget = config.connection_budget
+        self.connections = ConnectionTracker(
+            budget.client_connections, budget.idle_client_connections, executor.loop
+        )
+        self._aiohttp_server = web.Server(
+            self._handle,
+            request_factory=make_request_factory(executor.loop, MAX_BODY_BYTES),
+            handler_cancellation=True,  # the request of a client that closes is cancelled
         )
 
     def listen(self) -> None:
-        self.listener = Listener(self.address.host, self.address.port, self.room, self.admit)
-        self.address = Address(*self.listener.socket.getsockname()[:2])  # where the port was 0
+        """Start to accept connections.
 
-    def room(self) -> bool:
-        """Whether one more connection has a place. At the bound the oldest that never spoke makes room, or
-        else the longest idle; where a flood has just filled it, the kernel holds newcomers for an instant.
+        Raises:
+            OSError: if the configured address cannot be listened on.
         """
-        if len(self.clients) < self.most_clients:
-            return True
-        before = self.executor.loop.time() - SILENT
-        for one in [*self.silent, *self.idle]:
-            if one.came <= before and one.evictable():
-                one.evict()
-                return True
-        return False
+        self.listener = Listener(
+            self.address.host, self.address.port, self.connections.has_capacity, self._make_connection
+        )
+        host, port = self.listener.socket.getsockname()[:2]
+        self.address = Address(host, port)
 
-    def admit(self, connection: socket.socket) -> Client:
-        client = Client(
-            self, connection, keepalive_timeout=IDLE, access_log=None, auto_decompress=False,
-            lingering_time=0.0, max_line_size=MOST_HEAD, max_field_size=MOST_HEAD, max_headers=MOST_FIELDS,
-        )  # fmt: skip
-        self.clients.add(client)
-        self.silent[client] = None
-        return client
+    async def close(self) -> None:
+        """Accept no more connections and end idle ones; return when all requests have their response.
 
-    def spoke(self, client: Client) -> None:
-        """A message has come whole enough to be taken: the connection can't be evicted before its answer."""
-        self.silent.pop(client, None)
-        self.idle.pop(client, None)
+        That holds for requests in progress and for those whose first bytes have come.
+        """
+        self.is_closing = True
+        if self.listener:
+            self.listener.close()
+        while self.connections.open:
+            self.connections.evict_idle()
+            await asyncio.sleep(CLOSE_RETRY_INTERVAL_S)
 
-    def forget(self, client: Client) -> None:
-        self.clients.discard(client)
-        self.spoke(client)
+    def status_fields(self) -> dict[str, object]:
+        """Return fields for the status line: the clients' connections."""
+        return {"clients": len(self.connections.open), "clients_idle": len(self.connections.idle)}
 
-    async def handle(self, request: web.BaseRequest) -> web.Response:
+    def _make_connection(self, connection: socket.socket) -> ClientConnection:
+        client = ClientConnection(self._aiohttp_server, self.connections, connection, self.executor.loop)
+        self.connections.add(client)
+        return client
+
+    async def _handle(self, request: web.BaseRequest) -> web.Response:
+        """Handle one request of a connection, from its complete head to its response."""
         client = request.protocol
-        assert isinstance(client, Client)
-        client.take()
+        assert isinstance(client, ClientConnection)
+        client.begin_request()
         try:
-            response = await self.answer(request, client)
+            response = await self._respond(request, client)
         finally:
-            client.give_back()
-        # Guards against clients that ask once and keep their connection for good: they would soon hold all
-        # that clients can open, and the next find none. A close that the answer tells of crosses nothing.
-        # Only idle ones count: amid a storm of repeats, new connections would cost what the answers need.
-        crowded = len(self.idle) - len(self.silent) > self.config.connection_budget.idle_client_connections
-        if crowded or self.closing or not request.content.is_eof() or client.crowded():
-            response.force_close()  # Connection: close
+            client.end_request()
+        if (
+            self.is_closing
+            or self.connections.exceeds_idle_limit()
+            or not request.content.is_eof()
+            or client.has_queued_requests()
+        ):
+            response.force_close()  # the response announces it, so that no next request crosses the close
         return response
 
-    async def answer(self, request: web.BaseRequest, client: Client) -> web.Response:
-        came = self.executor.now()
-        path = request.path
-        if path == "/up":
-            return web.Response(status=200 if self.ready() else 503)
-        if path != "/api" or not request.raw_path.startswith("/"):  # no absolute form: it is no proxy
-            return web.Response(status=404)
-        if request.method not in ("GET", "PUT"):
-            return web.Response(status=405)
-        if (request.content_length or 0) > MAX_BODY_BYTES:
-            return web.Response(status=413)  # at once: none of it is read
+    async def _respond(self, request: web.BaseRequest, client: ClientConnection) -> web.Response:
+        arrived_at = self.executor.now()
+        early_response = self._respond_to_head(request)
+        if early_response is not None:
+            return early_response
         try:
-            async with asyncio.timeout(BODY):
+            async with asyncio.timeout(BODY_TIMEOUT_S):
                 body = await request.read() if request.body_exists else b""
-            ask = decode_request(self.config, request.method, request.raw_path, request.headers, body)
+            client_request = decode_request(
+                self.config, request.method, request.raw_path, request.headers, body
+            )
         except TimeoutError:
-            return web.Response(status=408)
+            return web.Response(status=HTTPStatus.REQUEST_TIMEOUT)
         except web.HTTPRequestEntityTooLarge:
-            return web.Response(status=413)
+            return web.Response(status=HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
         except ProtocolError as error:
-            return web.Response(status=400, text=f"{error}\n")
-        if client.crowded():
-            return web.Response(status=400, text="one request at a time\n")
-        client.whole = True
-        while self.over and self.over[0][0] <= came:
-            self.taken.discard(self.over.popleft()[1])
-        if ask.trace_id in self.taken:  # passed on, it would run a request twice that is open, or just was
-            return web.Response(status=400, text="X-Trace-Id: taken\n")
-        self.taken.add(ask.trace_id)
-        try:
-            return await self.schedule(ask, came + ask.timeout_s, client)
-        finally:
-            self.over.append((self.executor.now() + REMEMBERED, ask.trace_id))
+            return _bad_request(str(error))
+        if client.has_queued_requests():
+            return _bad_request("one request at a time")
+        client.request_is_complete = True
+        return await self._execute(client_request, arrived_at, client)
+
+    def _respond_to_head(self, request: web.BaseRequest) -> web.Response | None:
+        """Return the response to a request that needs no more than its head; None to others."""
+        if request.path == READINESS_PATH:
+            status = HTTPStatus.OK if self.ready() else HTTPStatus.SERVICE_UNAVAILABLE
+            return web.Response(status=status)
+        # An absolute URI in the request line is meant for a proxy, which this server is not.
+        if request.path != REQUEST_PATH or not request.raw_path.startswith("/"):
+            return web.Response(status=HTTPStatus.NOT_FOUND)
+        if request.method not in METHODS:
+            return web.Response(status=HTTPStatus.METHOD_NOT_ALLOWED)
+        if (request.content_length or 0) > MAX_BODY_BYTES:
+            return web.Response(status=HTTPStatus.REQUEST_ENTITY_TOO_LARGE)  # without reading any of it
+        return None
 
-    async def schedule(self, ask: ClientRequest, deadline: float, client: Client) -> web.Response:
-        """One request through the core: an attempt is one exchange with a box."""
+    async def _execute(
+        self, client_request: ClientRequest, arrived_at: float, client: ClientConnection
+    ) -> web.Response:
+        """Run one request through the executor; an attempt is one exchange with a storage node."""
+        if not self.trace_ids.reserve(client_request.trace_id, arrived_at):
+            return _bad_request("X-Trace-Id: taken")
+        request_id = self.executor.new_request_id()
+        arrival = client_request.to_arrival(request_id, arrived_at + client_request.timeout_s)
 
-        def left() -> float:
-            return 0.0 if client.has_left() else self.executor.attempt_time_left(arrival.request_id)
+        def time_left() -> float:
+            return 0.0 if client.client_has_closed() else self.executor.attempt_time_left(request_id)
 
         async def attempt(node: int) -> AttemptResult[bytes]:
-            return await self.boxes.attempt(node, ask, left)
+            return await self.node_client.attempt(node, client_request, time_left)
 
-        arrival = ask.to_arrival(self.executor.new_request_id(), deadline)
-        match await self.executor.execute(arrival, attempt):
-            case Served(body):
-                return web.Response(body=body)
-            case Rejected(wait):
-                advice = {"Retry-After": f"{wait:.3f}"} if wait > 0 else None
-                return web.Response(status=503, headers=advice)
-            case Failed():
-                return web.Response(status=502)
+        try:
+            result = await self.executor.execute(arrival, attempt)
+        finally:
+            self.trace_ids.release(client_request.trace_id, self.executor.now())
+        return _encode_result(result)
 
-    def status_fields(self) -> dict[str, object]:
-        """For the log: the clients' connections."""
-        return {"clients": len(self.clients), "clients_idle": len(self.idle)}
 
-    async def close(self) -> None:
-        """No new connections, no idle ones; what was taken, or is being read, is still answered."""
-        self.closing = True  # from now on each answer says that its connection ends
-        if self.listener:
-            self.listener.close()
-        while self.clients:
-            for client in list(self.idle):
-                if client.evictable() or client.stalled():
-                    client.evict()
-            await asyncio.sleep(AGAIN)
+def _encode_result(result: Served[bytes] | Rejected | Failed) -> web.Response:
+    match result:
+        case Served(body):
+            return web.Response(body=body)
+        case Rejected(retry_after_s):
+            headers = {"Retry-After": f"{retry_after_s:.3f}"} if retry_after_s > 0 else None
+            return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE, headers=headers)
+        case Failed():
+            return web.Response(status=HTTPStatus.BAD_GATEWAY)
+
+
+def _bad_request(reason: str) -> web.Response:
+    return web.Response(status=HTTPStatus.BAD_REQUEST, text=f"{reason}\n")
--- a/tests/http/test_races.py
+++ b/tests/http/test_races.py
@@ -108,7 +108,7 @@
 
     async def test_the_last_answer_outlives_a_request_that_comes_as_its_connection_ends(self) -> None:
         await self.begin(prompt)
-        self.front.closing = True
+        self.front.is_closing = True
         client = self.connect()
         real = web.Response.write_eof
 
@@ -121,15 +121,15 @@
             found = await self.received(client)
         assert found.startswith(b"HTTP/1.1 200 ") and found.endswith(b"tile"), found
         assert b"Connection: close" in found
-        (one,) = self.front.clients
+        (one,) = self.front.connections.open
         client.close()
-        await self.until(lambda: not self.front.clients)
+        await self.until(lambda: not self.front.connections.open)
         assert not one._messages, "what is read after the last answer is dropped"
         assert self.box.counts["crossing"] == 0
 
     async def test_a_client_that_sends_on_for_ever_is_cut_off_in_the_end(self) -> None:
         await self.begin(prompt)
-        self.front.closing = True
+        self.front.is_closing = True
         client = self.connect()
         client.sendall(request("t"))
         await self.received(client)  # up to the end of the front's sending
@@ -153,7 +153,7 @@
         await self.begin(prompt)
         client = self.connect()
         client.sendall(request("t")[:40])
-        await self.until(lambda: any(one.began for one in self.front.clients))
+        await self.until(lambda: any(one.head_started_at for one in self.front.connections.open))
         closing = asyncio.create_task(self.front.close())
         await asyncio.sleep(0)
         client.sendall(request("t")[40:])
@@ -168,12 +168,12 @@
 
         await self.begin(script)
         client = self.connect()
-        await self.until(lambda: self.front.idle)
-        (one,) = self.front.clients
+        await self.until(lambda: self.front.connections.idle)
+        (one,) = self.front.connections.open
         one.connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
         client.sendall(request("t"))
-        await self.until(lambda: one.graceful and one.graceful.get_write_buffer_size())
-        assert one in self.front.idle  # its request is over, its answer is not
+        await self.until(lambda: one.graceful_transport and one.graceful_transport.get_write_buffer_size())
+        assert one in self.front.connections.idle  # its request is over, its answer is not
         closing = asyncio.create_task(self.front.close())
         await asyncio.sleep(0)
         found = await self.received(client)  # up to the end of the connection
@@ -186,8 +186,8 @@
         client = self.connect()
         client.sendall(request("first"))
         await self.received(client, b"tile")
-        (one,) = self.front.clients
-        await self.until(one.waits)
+        (one,) = self.front.connections.open
+        await self.until(one.is_waiting_for_request)
         client.sendall(request("second"))
         one._next_keepalive_close_time = self.executor.loop.time()
         one._process_keepalive()
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import replace
 from typing import Any
 from unittest import mock
 
 from storage_gateway import policy_api as api
+from storage_gateway.http import client_connection, connection_tracker
 from storage_gateway.http import server as server_module
 from storage_gateway.policy_api import EndpointState
 from tests.support.http import HEADERS, TARGET, HttpServerCase
@@ -127,15 +127,15 @@
             return make_response()
 
         await self.begin(script)
-        self.front.most_clients = 3
+        self.front.connections.max_connections = 3
         silent = [await self.raw() for _ in range(3)]
-        await self.until(lambda: len(self.front.clients) == 3)
+        await self.until(lambda: len(self.front.connections.open) == 3)
         assert (await self.ask("t"))[0] == 200
         assert await silent[0][0].read() == b""  # the oldest has ended
         more = [await self.raw() for _ in range(3)]  # the client's own idle connection outlives them
         assert await more[0][0].read() == b""
         assert (await self.ask("u"))[0] == 200
-        assert len(self.front.clients) <= 3
+        assert len(self.front.connections.open) <= 3
         for _, writer in [*silent, *more]:
             writer.close()
 
@@ -144,18 +144,16 @@
             return make_response()
 
         await self.begin(script)
-        self.front.config.connection_budget = replace(
-            self.front.config.connection_budget, idle_client_connections=2
-        )
+        self.front.connections.max_idle_connections = 2
         kept = []
         for trace in "abc":
             kept.append(await self.raw(self.head(trace)))
             assert b" 200 " in await kept[-1][0].readuntil(b"tile")
         assert await kept[2][0].read() == b""
-        await self.until(lambda: len(self.front.clients) == 2)
+        await self.until(lambda: len(self.front.connections.open) == 2)
         kept[0][1].write(self.head("d"))
         assert b" 200 " in await kept[0][0].readuntil(b"tile")  # those before it are kept
-        assert len(self.front.clients) == 2
+        assert len(self.front.connections.open) == 2
         for _, writer in kept:
             writer.close()
 
@@ -164,14 +162,14 @@
             return make_response()
 
         await self.begin(script)
-        self.front.most_clients = 2
-        with mock.patch.object(server_module, "SILENT", 60):
+        self.front.connections.max_connections = 2
+        with mock.patch.object(connection_tracker, "MIN_EVICTION_AGE_S", 60):
             young = [await self.raw() for _ in range(2)]
-            await self.until(lambda: len(self.front.clients) == 2)
+            await self.until(lambda: len(self.front.connections.open) == 2)
             waiting = await self.raw(self.head("t"))
             await self.until(lambda: self.front.listener and self.front.listener.resume_timer)  # it waits for room
-        for one in self.front.silent:
-            one.came = 0.0
+        for one in self.front.connections.never_used:
+            one.accepted_at = 0.0
         for place, (_, writer) in enumerate(young):
             writer.write(self.head(f"y{place}")[:9] if place else self.head("y0"))
         assert b" 200 " in await waiting[0].readline()  # where the one that was answered had been
@@ -187,7 +185,7 @@
         slow = self.head("t", "Content-Length: 9", method="PUT") + b"scan"
         huge = self.head("u", "Content-Length: 60000000", method="PUT")
         cases = [b"", self.head("t")[:-2], b"GET / HTTP/1.1\r\nX: " + bytes(100_000), slow, huge]
-        with mock.patch.object(server_module, "IDLE", 0.2), mock.patch.object(server_module, "BODY", 0.2):
+        with mock.patch.object(client_connection, "IDLE_TIMEOUT_S", 0.2), mock.patch.object(server_module, "BODY_TIMEOUT_S", 0.2):
             peers = [await self.raw(case) for case in cases]
             async with asyncio.timeout(2):
                 found = [await reader.read() for reader, _ in peers]
@@ -200,10 +198,10 @@
             return make_response()
 
         await self.begin(script)
-        with mock.patch.object(server_module, "IDLE", 0.2):
+        with mock.patch.object(client_connection, "IDLE_TIMEOUT_S", 0.2):
             reader, writer = await self.raw(self.head("t")[:9])
-            (client,) = await self.found(lambda: [one for one in self.front.clients if one.began])
-            client.began += 60  # as if the first byte had come just now, however late the loop runs
+            (client,) = await self.found(lambda: [one for one in self.front.connections.open if one.head_started_at])
+            client.head_started_at += 60  # as if the first byte had come just now, however late the loop runs
             await asyncio.sleep(0.3)
             writer.write(self.head("t")[9:])
             assert b" 200 " in await reader.readline()
@@ -252,7 +250,7 @@
         assert self.box.counts["t"] == 1
         with mock.patch.object(self.executor, "clock_offset_s", self.executor.clock_offset_s + 60):
             await self.ask("u")
-        assert self.front.taken == {"u"}, "ids are forgotten in the end"
+        assert self.front.trace_ids.reserved == {"u"}, "ids are forgotten in the end"
 
     async def test_up_says_when_the_front_is_ready(self) -> None:
         await self.begin(lambda trace: asyncio.sleep(60))
