--- a/storage_gateway/http/client_connection.py
+++ b/storage_gateway/http/client_connection.py
@@ -39,7 +39,7 @@
 
     Args:
         server: aiohttp's server, which handles the requests.
-        tracker: the record of all connections; it is told when this one becomes idle, busy or lost.
+        tracker: the record of all connections; this one reports to it when it is idle, busy or lost.
         connection: the connection's socket.
         loop: the running event loop.
     """
--- /dev/null
+++ b/tests/http/test_attempt_deadline.py
@@ -0,0 +1,76 @@
+"""Attempts that would begin, or end, at the edge of the time that they have."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+from unittest import mock
+
+from storage_gateway import policy_api as api
+from storage_gateway.lifecycle import AttemptResult
+from tests.support.http import HttpServerCase, respond_at_once
+
+
+class AttemptDeadlineTest(HttpServerCase):
+    """Time passes while a connection to the node comes up."""
+
+    async def test_attempt_does_not_begin_past_its_client_s_deadline(self) -> None:
+        await self.start_server(respond_at_once)
+
+        with self.after_dial(lambda: self.advance_clock(2.0)):
+            status, _ = await self.send_request("t")
+
+        assert status != 200
+        assert self.node.counts["t"] == 0
+
+    async def test_request_with_a_key_is_not_retried_past_its_idempotency_window(self) -> None:
+        """Its second attempt is decided inside the window, but its connection comes up past it."""
+
+        async def break_off(trace_id: str) -> bytes | None:
+            return None  # it may have run
+
+        await self.start_server(break_off)
+        request_class = self.executor.policy.settings.classes[0]
+        request_class.repeatability = api.Repeatability.IDEMPOTENT_WITH_KEY
+        request_class.idempotency_window_s = 0.5
+        dial_times = []
+
+        def delay_second_dial() -> None:
+            dial_times.append(self.executor.now())
+            if len(dial_times) == 2:
+                self.advance_clock(0.6)
+
+        with self.after_dial(delay_second_dial):
+            status, _ = await self.send_request("t")
+
+        assert status != 200
+        assert self.node.counts["t"] == 1
+        assert len(dial_times) == 2
+
+    async def test_cancellation_that_meets_the_attempt_s_own_timer_harms_no_other_request(self) -> None:
+        await self.start_server(respond_at_once)
+        arrival = api.RequestArrived("t", 0, 0, 1, 1, 0, 1.0, self.executor.now() + 60, 1)
+        other_actions: asyncio.Queue[Any] = asyncio.Queue()
+
+        async def attempt(node: int) -> AttemptResult[bytes]:
+            pending_request = self.executor.pending["t"]
+            assert pending_request.attempt_timer
+            # It fires; the policy cancels the attempt before this task is woken by it.
+            pending_request.attempt_timer.reschedule(0.0)
+            asyncio.get_running_loop().call_soon(self.executor.step)
+            await asyncio.sleep(60)
+            raise AssertionError
+
+        def step(now: float, events: list[api.Event]) -> list[api.Action]:
+            if not events:
+                return [api.CancelAttempt("t", 0), api.RejectRequest("other")]
+            if isinstance(events[0], api.AttemptEnded):
+                return [api.FailRequest("t")]
+            return [api.SendAttempt("t", 1)]
+
+        self.executor.pending["other"] = mock.Mock(actions=other_actions)
+        with mock.patch.object(self.executor.policy, "step", step):
+            async with asyncio.timeout(5):
+                await self.executor.execute(arrival, attempt)
+                assert await other_actions.get() == api.RejectRequest("other")
+        del self.executor.pending["other"]
--- /dev/null
+++ b/tests/http/test_client_disconnect.py
@@ -0,0 +1,109 @@
+"""Clients that leave before their response: no attempt begins for them."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from collections.abc import Callable
+from typing import Any
+from unittest import mock
+
+from storage_gateway import policy_api as api
+from storage_gateway.http.sockets import peer_has_closed
+from tests.support.http import HttpServerCase, encode_request, respond_at_once
+from tests.support.peers import make_response
+
+
+def reset_connection(client: socket.socket) -> None:
+    """Close the socket so that the kernel sends a reset."""
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    client.close()
+
+
+class DisconnectBeforeAttemptTest(HttpServerCase):
+    """The client leaves between the decision to send and the first byte."""
+
+    async def disconnect_after_dial(self, disconnect: Callable[[socket.socket], Any]) -> None:
+        await self.start_server(respond_at_once)
+        client = self.open_socket()
+        with self.after_dial(lambda: disconnect(client)):
+            client.sendall(encode_request("t"))
+            await self.wait_until(lambda: self.node_client.dials and not self.executor.pending)
+        assert self.node.counts["t"] == 0
+
+    async def test_no_attempt_begins_for_a_client_that_has_just_closed(self) -> None:
+        await self.disconnect_after_dial(socket.socket.close)
+
+    async def test_nor_for_one_that_has_just_reset_its_connection(self) -> None:
+        await self.disconnect_after_dial(reset_connection)
+
+    async def test_nor_for_one_that_has_just_ended_its_sending(self) -> None:
+        await self.disconnect_after_dial(lambda client: client.shutdown(socket.SHUT_WR))
+
+    async def test_nor_does_a_retry_begin(self) -> None:
+        async def respond(trace_id: str) -> bytes:
+            client.close()
+            return make_response(503, b"", "X-Never-Ran: 1", "Connection: close")
+
+        await self.start_server(respond)
+        client = self.open_socket()
+        with mock.patch.object(self.executor.policy, "judge_node"):  # the next attempt is due at once
+            client.sendall(encode_request("t"))
+            await self.wait_until(lambda: self.node.counts["t"] and not self.executor.pending)
+        assert self.node.counts["t"] == 1
+
+
+class DisconnectWhileQueuedTest(HttpServerCase):
+    """The client leaves while the policy holds its request."""
+
+    async def test_client_that_leaves_while_its_request_is_queued_is_cancelled_at_once(self) -> None:
+        await self.start_server(respond_at_once)
+        self.server.config.client_timeouts_s[0] = 60.0
+        client = self.open_socket()
+        events: list[api.Event] = []
+
+        def step(now: float, new_events: list[api.Event]) -> list[api.Action]:
+            events.extend(new_events)
+            return []
+
+        with mock.patch.object(self.executor.policy, "step", step):
+            client.sendall(encode_request("t", changes={"X-Expires-In-Ms": "60000"}))
+            await self.wait_until(lambda: self.executor.pending)
+            client.close()
+            await self.wait_until(lambda: any(isinstance(event, api.ClientCancelled) for event in events))
+        assert self.executor.pending == {}
+        assert self.node.accepted == 0
+
+    async def test_client_that_leaves_in_the_turn_of_the_send_action_frees_its_slot(self) -> None:
+        await self.start_server(respond_at_once)
+        arrival = api.RequestArrived("t", 0, 0, 1, 1, 0, 1.0, self.executor.now() + 60, 1)
+        serving = asyncio.create_task(self.executor.execute(arrival, mock.AsyncMock()))
+        original_step = self.executor.step
+        cancelled: list[bool] = []
+
+        def step() -> None:
+            original_step()
+            if "t" in self.executor.pending and not self.executor.pending["t"].actions.empty():
+                cancelled.append(serving.cancel())
+
+        with mock.patch.object(self.executor, "step", step):
+            await self.wait_until(
+                lambda: cancelled and not self.executor.pending and not self.executor.policy.requests
+            )
+        assert cancelled == [True]
+        assert sum(sum(node.out) for node in self.executor.policy.nodes.values()) == 0
+
+
+class PeerHasClosedTest(HttpServerCase):
+    """The look at the kernel's state of a socket."""
+
+    async def test_bytes_behind_a_request_are_no_end_but_an_end_behind_them_is_seen(self) -> None:
+        ours, theirs = socket.socketpair(socket.AF_UNIX)
+        ours.setblocking(False)
+        self.addCleanup(ours.close)
+        assert not peer_has_closed(ours)
+        theirs.sendall(b"more")
+        assert not peer_has_closed(ours)
+        theirs.close()
+        assert peer_has_closed(ours)
--- /dev/null
+++ b/tests/http/test_shutdown.py
@@ -0,0 +1,72 @@
+"""The server as its process ends: each request that was accepted has its response."""
+
+from __future__ import annotations
+
+import asyncio
+from unittest import mock
+
+from storage_gateway.lifecycle import ATTEMPT_MARGIN_S
+from tests.support.http import HttpServerCase, encode_request, never_respond, respond_at_once
+
+
+class ShutdownTest(HttpServerCase):
+    """Requests that cross the shutdown."""
+
+    async def test_request_in_progress_has_its_response_before_the_process_ends(self) -> None:
+        await self.start_server(never_respond)
+        self.server.config.client_timeouts_s[1] = 60.0  # the client waits far longer than the process lives
+        sending = asyncio.create_task(self.send_request("t", "PUT", b"scan", {"X-Expires-In-Ms": "60000"}))
+        await self.wait_until(lambda: self.node.counts["t"])
+
+        self.executor.begin_shutdown(0.2)
+
+        async with asyncio.timeout(5):
+            assert (await sending)[0] == 502  # it may have run
+        await self.wait_until(lambda: self.node.open == 0 and not self.executor.pending)
+
+    async def test_request_that_is_queued_as_the_process_ends_is_rejected_and_not_sent(self) -> None:
+        await self.start_server(never_respond)
+        self.server.config.client_timeouts_s[0] = 60.0
+        with mock.patch.object(self.executor.policy, "step", return_value=[]):
+            sending = asyncio.create_task(self.send_request("t", changes={"X-Expires-In-Ms": "60000"}))
+            await self.wait_until(lambda: self.executor.pending)
+
+            self.executor.begin_shutdown(0.1)
+
+            async with asyncio.timeout(5):
+                assert (await sending)[0] == 503
+        assert self.node.accepted == 0
+
+    async def test_no_attempt_begins_past_the_response_deadline(self) -> None:
+        await self.start_server(respond_at_once)
+
+        with self.after_dial(lambda: self.executor.begin_shutdown(ATTEMPT_MARGIN_S / 2)):
+            status, _ = await self.send_request("t")
+
+        assert status in (502, 503)
+        assert self.node.counts["t"] == 0
+
+    async def test_request_in_the_backlog_of_the_closing_listener_is_served(self) -> None:
+        await self.start_server(respond_at_once)
+        client = self.open_socket()
+        client.sendall(encode_request("t"))
+
+        closing = asyncio.create_task(self.server.close())  # its first step comes before the next accept
+        assert self.server.listener
+        self.server.listener.loop.remove_reader(self.server.listener.socket)
+
+        assert (await self.receive(client)).startswith(b"HTTP/1.1 200 ")
+        await closing
+
+    async def test_request_that_has_half_come_as_the_server_closes_is_served(self) -> None:
+        await self.start_server(respond_at_once)
+        client = self.open_socket()
+        client.sendall(encode_request("t")[:40])
+        await self.wait_until(lambda: any(one.head_started_at for one in self.server.connections.open))
+
+        closing = asyncio.create_task(self.server.close())
+        await asyncio.sleep(0)
+        client.sendall(encode_request("t")[40:])
+
+        assert (await self.receive(client)).startswith(b"HTTP/1.1 200 ")
+        await closing
--- a/tests/support/http.py
+++ b/tests/support/http.py
@@ -1,19 +1,25 @@
-"""An HTTP server of the gateway on loopback, with one node behind it."""
+"""An HTTP server of the gateway on loopback, with one scripted storage node behind it."""
 
 from __future__ import annotations
 
 import asyncio
+import socket
 import unittest
+from collections.abc import Awaitable, Callable
 from typing import Any
+from unittest import mock
 
 import aiohttp
 
 from storage_gateway.endpoints.registry import EndpointRegistry
+from storage_gateway.http.client_connection import ClientConnection
 from storage_gateway.http.node_client import NodeClient
+from storage_gateway.http.node_connection import NodeConnection
+from storage_gateway.http.pool import ConnectionPool
 from storage_gateway.http.request_codec import ClientRequest
 from storage_gateway.http.server import HttpServer
 from storage_gateway.lifecycle import RequestExecutor
-from tests.support.peers import FakeHttpNode, apply_endpoints, make_config, make_endpoint
+from tests.support.peers import FakeHttpNode, apply_endpoints, make_config, make_endpoint, make_response
 
 HEADERS = {
     "X-Qos": "tile-read",
@@ -21,48 +27,158 @@
     "X-Expires-In-Ms": "1500",
     "X-IO": "volume=00000003b4d60021,units=2,shard=0,hosts=1",
 }
+TARGET = "/api?block=7f3a9c21e0b4d655"
+NODE = 1  # the registry's id of the scripted node
+WAIT_LIMIT_S = 5.0  # after which a test fails that waits for something
+POLL_INTERVAL_S = 0.005
 
 
-TARGET = "/api?block=7f3a9c21e0b4d655"
+def make_client_request(trace_id: str, method: str = "GET", body: bytes = b"") -> ClientRequest:
+    """Return a request of two units as the server would decode it."""
+    return ClientRequest(
+        trace_id=trace_id,
+        method=method,
+        target=TARGET,
+        class_index=int(method == "PUT"),
+        plan_index=0,
+        volume_id=1,
+        object_key=1,
+        shard=0,
+        units=2.0,
+        gateway_count=1,
+        timeout_s=1.5,
+        body=body,
+    )
+
+
+def encode_request(
+    trace_id: str, *extra_fields: str, method: str = "GET", changes: dict[str, str] | None = None
+) -> bytes:
+    """Return the head of a request as a client writes it.
+
+    Args:
+        trace_id: its trace id.
+        extra_fields: lines of the head behind the others, such as ``Content-Length: 4``.
+        method: its method.
+        changes: other values for some of ``HEADERS``.
+    """
+    headers = HEADERS | (changes or {})
+    lines = [
+        f"{method} {TARGET} HTTP/1.1",
+        "Host: h",
+        f"X-Trace-Id: {trace_id}",
+        *(f"{name}: {value}" for name, value in headers.items()),
+        *extra_fields,
+    ]
+    return "\r\n".join([*lines, "", ""]).encode()
 
 
-def make_client_request(trace: str, method: str = "GET", body: bytes = b"") -> ClientRequest:
-    return ClientRequest(trace, method, TARGET, int(method == "PUT"), 0, 1, 1, 0, 2.0, 1, 1.5, body)
+async def respond_at_once(trace_id: str) -> bytes:
+    """Script of a node that serves every request."""
+    return make_response()
+
+
+async def never_respond(trace_id: str) -> bytes:
+    """Script of a node that takes requests and sends nothing back."""
+    await asyncio.Event().wait()
+    raise AssertionError
 
 
 class HttpServerCase(unittest.IsolatedAsyncioTestCase):
-    async def begin(self, script: Any, most: int = 32) -> None:
-        self.box: FakeHttpNode = await FakeHttpNode(script).start()
-        self.executor, self.registry = RequestExecutor(make_config().settings), EndpointRegistry({})
-        self.boxes = NodeClient(self.registry, 0.25, 30.0, most)
-        self.ready = False
-        self.front = HttpServer(make_config(), self.executor, self.boxes, lambda: self.ready)
-        self.front.listen()
-        self.url = f"http://127.0.0.1:{self.front.address.port}"
+    """A test with a server, its executor and node client, and one node."""
+
+    async def start_server(
+        self, script: Callable[[str], Awaitable[bytes | None]], max_connections: int = 32
+    ) -> None:
+        """Start the node with its script and a server that sends requests to it."""
+        self.node: FakeHttpNode = await FakeHttpNode(script).start()
+        self.executor = RequestExecutor(make_config().settings)
+        self.registry = EndpointRegistry({})
+        self.node_client = NodeClient(self.registry, 0.25, 30.0, max_connections)
+        self.is_ready = False
+        self.server = HttpServer(make_config(), self.executor, self.node_client, lambda: self.is_ready)
+        self.server.listen()
+        self.url = f"http://127.0.0.1:{self.server.address.port}"
         self.executor.post(
-            apply_endpoints(self.registry, make_endpoint("s-a", self.box.port), is_snapshot=True)
+            apply_endpoints(self.registry, make_endpoint("s-a", self.node.port), is_snapshot=True)
         )
         self.client = aiohttp.ClientSession()
-        self.addAsyncCleanup(self.end)
+        self.addAsyncCleanup(self.stop_server)
 
-    async def end(self) -> None:
+    async def stop_server(self) -> None:
+        """Close everything that ``start_server`` opened."""
         await self.client.close()
-        await self.front.close()
-        self.boxes.close()
-        self.box.stop()
+        await self.server.close()
+        self.node_client.close()
+        self.node.stop()
 
-    async def ask(
-        self, trace: str, method: str = "GET", body: bytes = b"", **headers: str
+    async def send_request(
+        self, trace_id: str, method: str = "GET", body: bytes = b"", changes: dict[str, str] | None = None
     ) -> tuple[int, bytes]:
-        kind = "record-write" if method == "PUT" else "tile-read"
-        every = {**HEADERS, "X-Trace-Id": trace, "X-Qos": kind} | {
-            name.replace("_", "-"): value for name, value in headers.items()
-        }
+        """Send a request with aiohttp's client; return the status and body of its response."""
+        class_name = "record-write" if method == "PUT" else "tile-read"
+        headers = {**HEADERS, "X-Trace-Id": trace_id, "X-Qos": class_name, **(changes or {})}
         url = self.url + TARGET
-        async with self.client.request(method, url, headers=every, data=body or None) as response:
+        async with self.client.request(method, url, headers=headers, data=body or None) as response:
             return response.status, await response.read()
 
-    async def until(self, true: Any) -> None:
-        async with asyncio.timeout(5):
-            while not true():
-                await asyncio.sleep(0.005)
+    async def wait_until(self, condition: Callable[[], Any]) -> None:
+        """Wait until the condition holds."""
+        async with asyncio.timeout(WAIT_LIMIT_S):
+            while True:
+                if condition():
+                    return
+                await asyncio.sleep(POLL_INTERVAL_S)
+
+    async def only_connection(self, condition: Callable[[ClientConnection], Any]) -> ClientConnection:
+        """Wait until one client's connection meets the condition, and return it."""
+
+        def matching() -> list[ClientConnection]:
+            return [connection for connection in self.server.connections.open if condition(connection)]
+
+        await self.wait_until(matching)
+        (connection,) = matching()
+        return connection
+
+    async def open_stream(self, *parts: bytes) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Open a client's connection and send raw bytes on it."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.server.address.port)
+        writer.write(b"".join(parts))
+        return reader, writer
+
+    def open_socket(self) -> socket.socket:
+        """Open a client's socket outside the loop: what it sends or ends is in the kernel at once."""
+        client = socket.create_connection(("127.0.0.1", self.server.address.port))
+        self.addCleanup(client.close)
+        return client
+
+    async def receive(self, client: socket.socket, until: bytes | None = None) -> bytes:
+        """Return all that comes, up to the end or to ``until``; a reset raises ConnectionError."""
+        client.setblocking(False)
+        received = b""
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(WAIT_LIMIT_S):
+            while part := await loop.sock_recv(client, 65536):
+                received += part
+                if until and until in received:
+                    break
+        return received
+
+    def advance_clock(self, seconds: float) -> None:
+        """Move the executor's clock on; its timers stay."""
+        self.executor.clock_offset_s += seconds
+
+    def after_dial(self, action: Callable[[], Any]) -> Any:
+        """Patch the node client: the action runs once a connection to a node is up, before anything else."""
+        return self.patch_dial(lambda connection: action())
+
+    def patch_dial(self, action: Callable[[NodeConnection], Any]) -> Any:
+        """Like ``after_dial``, for an action on the new connection."""
+        dial = self.node_client.dial
+
+        async def dial_and_act(pool: ConnectionPool) -> NodeConnection:
+            connection = await dial(pool)
+            action(connection)
+            return connection
+
+        return mock.patch.object(self.node_client, "dial", dial_and_act)
