--- a/storage_gateway/http/response_parser.py
+++ b/storage_gateway/http/response_parser.py
@@ -20,7 +20,7 @@
 
 MAX_BODY_BYTES = 1024 * 1024  # nodes send more than a client's request may hold
 MAX_CHUNKED_BYTES = 2 * MAX_BODY_BYTES  # of a chunked body with its framing
-BODY_BUFFER_BYTES = 4 * MAX_BODY_BYTES  # so large that no accepted body makes the parser pause reading
+BODY_BUFFER_BYTES = 4 * MAX_BODY_BYTES  # so that the size of no accepted body pauses the parser
 MAX_HEAD_BYTES = 16 * 1024
 MAX_INTERIM_RESPONSES = 8  # 1xx responses before the final one
 HTTP_VERSION_PREFIX = b"HTTP/1."
