--- a/storage_gateway/service.py
+++ b/storage_gateway/service.py
@@ -17,8 +17,9 @@
 from storage_gateway.endpoints.registry import EndpointRegistry
 from storage_gateway.endpoints.watch import DiscoveryClient
 from storage_gateway.errors import ConfigurationError, ProtocolError
+from storage_gateway.http.client_connection import LINGER_S
 from storage_gateway.http.node_client import NodeClient
-from storage_gateway.http.server import DRAIN, HttpServer
+from storage_gateway.http.server import HttpServer
 from storage_gateway.lifecycle import RequestExecutor
 from storage_gateway.sftp.node_client import SftpNodeClient
 from storage_gateway.sftp.server import SftpServer
@@ -157,7 +158,7 @@
     await stop.wait()
     log.info("leaving", open=len(executor.pending))
     last = config.notice() - EXIT
-    executor.begin_shutdown(last - DRAIN)
+    executor.begin_shutdown(last - LINGER_S)
     accepting = accepting_time(last, [kind.latency_objective_s for kind in config.settings.classes])
 
     async def close_files() -> None:
