--- a/storage_gateway/vrrp/transport.py
+++ b/storage_gateway/vrrp/transport.py
@@ -1,4 +1,4 @@
-"""VRRP version 3 (RFC 5798): the state machine, without a clock or a wire, and its carrier over UDP.
+"""VRRP version 3 (RFC 5798) over UDP.
 
 The carrier stands in for IP protocol 112: peers are named instead of a multicast group, so there is no check
 of the TTL, and the checksum covers the VRRP message alone (UDP's own covers the addresses).
@@ -7,123 +7,19 @@
 from __future__ import annotations
 
 import asyncio
-import ipaddress
 import math
-import struct
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
-from enum import Enum
 
 import structlog
 
 from storage_gateway.config import Address, VrrpConfig
 from storage_gateway.errors import AdvertisementError
+from storage_gateway.vrrp.advertisement import Advertisement, decode, encode
+from storage_gateway.vrrp.router import State, VirtualRouter
 
 log = structlog.get_logger()
 
 
-class State(Enum):
-    INITIALIZE = "initialize"
-    BACKUP = "backup"
-    MASTER = "master"
-
-
-@dataclass(slots=True, frozen=True)
-class Advertisement:
-    router: int
-    priority: int
-    interval: float  # seconds
-    addresses: tuple[str, ...]
-
-
-def checksum(message: bytes) -> int:
-    total: int = sum(struct.unpack(f">{len(message) // 2}H", message))
-    while total >> 16:
-        total = (total & 0xFFFF) + (total >> 16)
-    return ~total & 0xFFFF
-
-
-def encode(advertisement: Advertisement) -> bytes:
-    addresses = b"".join(ipaddress.ip_address(one).packed for one in advertisement.addresses)
-    head = (0x31, advertisement.router, advertisement.priority, len(advertisement.addresses))
-    centiseconds = round(advertisement.interval * 100) & 0xFFF
-    body = struct.pack(">BBBBHH", *head, centiseconds, 0) + addresses
-    return body[:6] + struct.pack(">H", checksum(body)) + body[8:]
-
-
-def decode(message: bytes) -> Advertisement:
-    if len(message) < 12 or len(message) % 4:
-        raise AdvertisementError(f"{len(message)} bytes")
-    kind, router, priority, count, interval = struct.unpack(">BBBBH", message[:6])
-    if kind != 0x31:
-        raise AdvertisementError(f"version and type {kind:#x}")
-    if checksum(message):
-        raise AdvertisementError("checksum")
-    size, odd = divmod(len(message) - 8, count) if count else (0, 1)
-    if odd or size not in (4, 16):
-        raise AdvertisementError(f"{count} addresses")
-    parts = [message[start : start + size] for start in range(8, len(message), size)]
-    addresses = tuple(str(ipaddress.ip_address(part)) for part in parts)
-    return Advertisement(router, priority, (interval & 0xFFF) / 100, addresses)
-
-
-class VirtualRouter:
-    """A virtual router's state machine (RFC 5798, 6.4). Each event returns the priorities to advertise now;
-    ``due`` is when ``timer`` wants to be called next.
-    """
-
-    def __init__(self, priority: int, interval: float, preempt: bool, address: str) -> None:
-        self.priority, self.interval, self.preempt = priority, interval, preempt
-        self.address = ipaddress.ip_address(address)  # the primary one, which breaks ties
-        self.state, self.due = State.INITIALIZE, math.inf
-        self.master_interval = interval
-
-    @property
-    def skew(self) -> float:
-        return (256 - self.priority) * self.master_interval / 256
-
-    @property
-    def master_down(self) -> float:
-        return 3 * self.master_interval + self.skew
-
-    def startup(self, now: float) -> list[int]:
-        if self.priority == 255:
-            return self.become_master(now)
-        self.state, self.master_interval = State.BACKUP, self.interval
-        self.due = now + self.master_down
-        return []
-
-    def shutdown(self) -> list[int]:
-        was, self.state, self.due = self.state, State.INITIALIZE, math.inf
-        return [0] if was is State.MASTER else []
-
-    def timer(self, now: float) -> list[int]:
-        return [] if now < self.due else self.become_master(now)
-
-    def become_master(self, now: float) -> list[int]:
-        """Also each further advertisement of a master."""
-        self.state, self.due = State.MASTER, now + self.interval
-        return [self.priority]
-
-    def received(self, heard: Advertisement, source: str, now: float) -> list[int]:
-        if self.state is State.BACKUP:
-            if heard.priority == 0:
-                self.due = now + self.skew
-            elif not self.preempt or heard.priority >= self.priority:
-                self.follow(heard, now)
-        elif self.state is State.MASTER:
-            if heard.priority == 0:
-                return self.become_master(now)
-            rank = ipaddress.ip_address(source).packed > self.address.packed
-            if heard.priority > self.priority or (heard.priority == self.priority and rank):
-                self.follow(heard, now)
-        return []
-
-    def follow(self, master: Advertisement, now: float) -> None:
-        self.state, self.master_interval = State.BACKUP, master.interval or self.interval
-        self.due = now + self.master_down
-
-
 class VrrpTransport(asyncio.DatagramProtocol):
     """A router on UDP. ``changed`` hears, in their order, of each gain (True) and loss of mastership."""
 
