Rewrite VRRP in the terms of RFC 5798 and await its notifier in stop

Cause: names such as tell, news, after and due said little to who knows the RFC; magic numbers (0x31, 255, 0) stood in the text; each router event returned a list that held one priority at most; the task that passes on changes of mastership was cancelled in stop() and never awaited. Change: Skew_Time, Master_Down_Interval and the priorities are named; router events return a priority or None; backup and master have a handler each; the notifier task starts with the socket and stop() awaits its end. Log events: vrrp_skipped -> vrrp_advertisement_ignored, vrrp_unreachable -> vrrp_send_failed, vrrp_master and vrrp_backup -> vrrp_mastership_gained and _lost, vrrp_change_failed -> vrrp_mastership_change_failed.

--- a/storage_gateway/vrrp/advertisement.py
+++ b/storage_gateway/vrrp/advertisement.py
@@ -8,41 +8,81 @@
 
 from storage_gateway.errors import AdvertisementError
 
+OWNER_PRIORITY = 255  # of the router that owns the virtual addresses (RFC 5798, section 5.2.4)
+RELEASE_PRIORITY = 0  # of a master that stops taking part
+
+_VERSION_AND_TYPE = 0x31  # version 3, type 1 (advertisement)
+_FIELDS = struct.Struct(">BBBBH")  # version and type, router id, priority, address count, interval
+_CHECKSUM = struct.Struct(">H")
+_HEADER_BYTES = _FIELDS.size + _CHECKSUM.size
+_IPV4_BYTES = 4
+_IPV6_BYTES = 16
+_MIN_MESSAGE_BYTES = _HEADER_BYTES + _IPV4_BYTES
+_CENTISECONDS_PER_S = 100
+_INTERVAL_MASK = 0xFFF  # the upper 4 bits of the interval's field are reserved
+
 
 @dataclass(slots=True, frozen=True)
 class Advertisement:
-    router: int
+    """What a master announces.
+
+    Attributes:
+        router_id: the virtual router's id.
+        priority: the sender's priority; ``RELEASE_PRIORITY`` announces that it leaves.
+        interval_s: seconds between the sender's advertisements, with a resolution of 0.01 s.
+        addresses: the virtual addresses, all of one IP version.
+    """
+
+    router_id: int
     priority: int
-    interval: float  # seconds
+    interval_s: float
     addresses: tuple[str, ...]
 
 
-def checksum(message: bytes) -> int:
+def encode_advertisement(advertisement: Advertisement) -> bytes:
+    """Return the message with its checksum."""
+    addresses = b"".join(ipaddress.ip_address(address).packed for address in advertisement.addresses)
+    fields = _FIELDS.pack(
+        _VERSION_AND_TYPE,
+        advertisement.router_id,
+        advertisement.priority,
+        len(advertisement.addresses),
+        round(advertisement.interval_s * _CENTISECONDS_PER_S) & _INTERVAL_MASK,
+    )
+    checksum = internet_checksum(fields + _CHECKSUM.pack(0) + addresses)
+    return fields + _CHECKSUM.pack(checksum) + addresses
+
+
+def decode_advertisement(message: bytes) -> Advertisement:
+    """Read and check a whole message.
+
+    Raises:
+        AdvertisementError: the message is no advertisement of VRRP version 3, or is damaged.
+    """
+    if len(message) < _MIN_MESSAGE_BYTES or len(message) % _IPV4_BYTES:
+        raise AdvertisementError(f"{len(message)} bytes")
+    version_and_type, router_id, priority, address_count, interval = _FIELDS.unpack_from(message)
+    if version_and_type != _VERSION_AND_TYPE:
+        raise AdvertisementError(f"version and type {version_and_type:#x}")
+    if internet_checksum(message):
+        raise AdvertisementError("checksum")
+    addresses = _split_addresses(message[_HEADER_BYTES:], address_count)
+    interval_s = (interval & _INTERVAL_MASK) / _CENTISECONDS_PER_S
+    return Advertisement(router_id, priority, interval_s, addresses)
+
+
+def internet_checksum(message: bytes) -> int:
+    """Return the checksum of RFC 1071; it is 0 for a message that holds its own right one."""
     total: int = sum(struct.unpack(f">{len(message) // 2}H", message))
     while total >> 16:
         total = (total & 0xFFFF) + (total >> 16)
     return ~total & 0xFFFF
 
 
-def encode(advertisement: Advertisement) -> bytes:
-    addresses = b"".join(ipaddress.ip_address(one).packed for one in advertisement.addresses)
-    head = (0x31, advertisement.router, advertisement.priority, len(advertisement.addresses))
-    centiseconds = round(advertisement.interval * 100) & 0xFFF
-    body = struct.pack(">BBBBHH", *head, centiseconds, 0) + addresses
-    return body[:6] + struct.pack(">H", checksum(body)) + body[8:]
-
-
-def decode(message: bytes) -> Advertisement:
-    if len(message) < 12 or len(message) % 4:
-        raise AdvertisementError(f"{len(message)} bytes")
-    kind, router, priority, count, interval = struct.unpack(">BBBBH", message[:6])
-    if kind != 0x31:
-        raise AdvertisementError(f"version and type {kind:#x}")
-    if checksum(message):
-        raise AdvertisementError("checksum")
-    size, odd = divmod(len(message) - 8, count) if count else (0, 1)
-    if odd or size not in (4, 16):
+def _split_addresses(packed: bytes, count: int) -> tuple[str, ...]:
+    """Split the packed addresses; their length tells the IP version, which the message does not state."""
+    address_bytes = len(packed) // count if count else 0
+    if address_bytes not in (_IPV4_BYTES, _IPV6_BYTES) or address_bytes * count != len(packed):
         raise AdvertisementError(f"{count} addresses")
-    parts = [message[start : start + size] for start in range(8, len(message), size)]
-    addresses = tuple(str(ipaddress.ip_address(part)) for part in parts)
-    return Advertisement(router, priority, (interval & 0xFFF) / 100, addresses)
+    starts = range(0, len(packed), address_bytes)
+    return tuple(str(ipaddress.ip_address(packed[start : start + address_bytes])) for start in starts)
--- a/storage_gateway/vrrp/router.py
+++ b/storage_gateway/vrrp/router.py
@@ -6,67 +6,109 @@
 import math
 from enum import Enum
 
-from storage_gateway.vrrp.advertisement import Advertisement
+from storage_gateway.vrrp.advertisement import OWNER_PRIORITY, RELEASE_PRIORITY, Advertisement
 
+_PRIORITY_RANGE = 256  # the divisor of the skew time (RFC 5798, section 6.1)
+_MISSED_ADVERTISEMENTS = 3  # after as many of them, and the skew time, a master counts as down
+
+
+class RouterState(Enum):
+    """The states of RFC 5798, section 6.4."""
 
-class State(Enum):
     INITIALIZE = "initialize"
     BACKUP = "backup"
     MASTER = "master"
 
 
 class VirtualRouter:
-    """A virtual router's state machine (RFC 5798, 6.4). Each event returns the priorities to advertise now;
-    ``due`` is when ``timer`` wants to be called next.
+    """One instance's part in a virtual router.
+
+    Each event returns the priority to advertise now, or None where nothing is to be sent. ``now`` is in
+    seconds on the caller's clock.
+
+    Attributes:
+        state: the present state.
+        timer_due: when ``timer_fired`` is to be called next, on the caller's clock; infinite for never.
     """
 
-    def __init__(self, priority: int, interval: float, preempt: bool, address: str) -> None:
-        self.priority, self.interval, self.preempt = priority, interval, preempt
-        self.address = ipaddress.ip_address(address)  # the primary one, which breaks ties
-        self.state, self.due = State.INITIALIZE, math.inf
-        self.master_interval = interval
-
-    @property
-    def skew(self) -> float:
-        return (256 - self.priority) * self.master_interval / 256
-
-    @property
-    def master_down(self) -> float:
-        return 3 * self.master_interval + self.skew
-
-    def startup(self, now: float) -> list[int]:
-        if self.priority == 255:
-            return self.become_master(now)
-        self.state, self.master_interval = State.BACKUP, self.interval
-        self.due = now + self.master_down
-        return []
-
-    def shutdown(self) -> list[int]:
-        was, self.state, self.due = self.state, State.INITIALIZE, math.inf
-        return [0] if was is State.MASTER else []
-
-    def timer(self, now: float) -> list[int]:
-        return [] if now < self.due else self.become_master(now)
-
-    def become_master(self, now: float) -> list[int]:
-        """Also each further advertisement of a master."""
-        self.state, self.due = State.MASTER, now + self.interval
-        return [self.priority]
-
-    def received(self, heard: Advertisement, source: str, now: float) -> list[int]:
-        if self.state is State.BACKUP:
-            if heard.priority == 0:
-                self.due = now + self.skew
-            elif not self.preempt or heard.priority >= self.priority:
-                self.follow(heard, now)
-        elif self.state is State.MASTER:
-            if heard.priority == 0:
-                return self.become_master(now)
-            rank = ipaddress.ip_address(source).packed > self.address.packed
-            if heard.priority > self.priority or (heard.priority == self.priority and rank):
-                self.follow(heard, now)
-        return []
-
-    def follow(self, master: Advertisement, now: float) -> None:
-        self.state, self.master_interval = State.BACKUP, master.interval or self.interval
-        self.due = now + self.master_down
+    def __init__(self, priority: int, interval_s: float, preempt: bool, primary_address: str) -> None:
+        self.state = RouterState.INITIALIZE
+        self.timer_due = math.inf
+        self._priority = priority
+        self._interval_s = interval_s
+        self._preempt = preempt
+        self._primary_address = ipaddress.ip_address(primary_address)
+        self._master_interval_s = interval_s
+
+    def startup(self, now: float) -> int | None:
+        """Enter the protocol: the owner of the addresses as master, any other router as backup."""
+        if self._priority == OWNER_PRIORITY:
+            return self._become_master(now)
+        self.state = RouterState.BACKUP
+        self._master_interval_s = self._interval_s
+        self.timer_due = now + self._master_down_interval_s()
+        return None
+
+    def shutdown(self) -> int | None:
+        """Leave the protocol; a master says so, and a backup takes over after its skew time alone."""
+        was_master = self.state is RouterState.MASTER
+        self.state = RouterState.INITIALIZE
+        self.timer_due = math.inf
+        return RELEASE_PRIORITY if was_master else None
+
+    def timer_fired(self, now: float) -> int | None:
+        """Advertise again as master, or take over as backup; a timer that fired early changes nothing."""
+        return None if now < self.timer_due else self._become_master(now)
+
+    def advertisement_received(self, advertisement: Advertisement, source: str, now: float) -> int | None:
+        """Handle an advertisement for this virtual router.
+
+        Args:
+            advertisement: the message.
+            source: the IP address that it came from, which breaks a tie of priorities.
+            now: seconds on the caller's clock.
+        """
+        if self.state is RouterState.BACKUP:
+            self._received_as_backup(advertisement, now)
+            return None
+        if self.state is RouterState.MASTER:
+            return self._received_as_master(advertisement, source, now)
+        return None
+
+    def _received_as_backup(self, advertisement: Advertisement, now: float) -> None:
+        if advertisement.priority == RELEASE_PRIORITY:
+            self.timer_due = now + self._skew_time_s()
+        elif not self._preempt or advertisement.priority >= self._priority:
+            self._follow(advertisement, now)
+
+    def _received_as_master(self, advertisement: Advertisement, source: str, now: float) -> int | None:
+        if advertisement.priority == RELEASE_PRIORITY:
+            return self._become_master(now)
+        if self._is_outranked_by(advertisement, source):
+            self._follow(advertisement, now)
+        return None
+
+    def _is_outranked_by(self, advertisement: Advertisement, source: str) -> bool:
+        if advertisement.priority != self._priority:
+            return advertisement.priority > self._priority
+        return ipaddress.ip_address(source).packed > self._primary_address.packed
+
+    def _become_master(self, now: float) -> int:
+        """Enter or stay in the master state, and return the priority of its next advertisement."""
+        self.state = RouterState.MASTER
+        self.timer_due = now + self._interval_s
+        return self._priority
+
+    def _follow(self, advertisement: Advertisement, now: float) -> None:
+        """Be the backup of the advertisement's sender, by its interval where it states one."""
+        self.state = RouterState.BACKUP
+        self._master_interval_s = advertisement.interval_s or self._interval_s
+        self.timer_due = now + self._master_down_interval_s()
+
+    def _skew_time_s(self) -> float:
+        """Skew_Time of RFC 5798, section 6.1: the higher the priority, the sooner a backup takes over."""
+        return (_PRIORITY_RANGE - self._priority) * self._master_interval_s / _PRIORITY_RANGE
+
+    def _master_down_interval_s(self) -> float:
+        """Master_Down_Interval of RFC 5798, section 6.1."""
+        return _MISSED_ADVERTISEMENTS * self._master_interval_s + self._skew_time_s()
--- a/storage_gateway/vrrp/transport.py
+++ b/storage_gateway/vrrp/transport.py
@@ -1,7 +1,7 @@
 """VRRP version 3 (RFC 5798) over UDP.
 
-The carrier stands in for IP protocol 112: peers are named instead of a multicast group, so there is no check
-of the TTL, and the checksum covers the VRRP message alone (UDP's own covers the addresses).
+UDP stands in for IP protocol 112: peers are named instead of a multicast group, so there is no check of the
+TTL, and the checksum covers the VRRP message alone (UDP's own covers the addresses).
 """
 
 from __future__ import annotations
@@ -14,81 +14,115 @@
 
 from storage_gateway.config import Address, VrrpConfig
 from storage_gateway.errors import AdvertisementError
-from storage_gateway.vrrp.advertisement import Advertisement, decode, encode
-from storage_gateway.vrrp.router import State, VirtualRouter
+from storage_gateway.vrrp.advertisement import Advertisement, decode_advertisement, encode_advertisement
+from storage_gateway.vrrp.router import RouterState, VirtualRouter
 
 log = structlog.get_logger()
 
 
 class VrrpTransport(asyncio.DatagramProtocol):
-    """A router on UDP. ``changed`` hears, in their order, of each gain (True) and loss of mastership."""
+    """The socket, clock and timer of a virtual router.
 
-    def __init__(self, config: VrrpConfig, changed: Callable[[bool], Awaitable[None]]) -> None:
-        self.config, self.changed, self.loop = config, changed, asyncio.get_running_loop()
+    ``on_mastership_change`` is awaited for each gain (True) and loss (False) of mastership, one at a time and
+    in their order.
+    """
+
+    def __init__(self, config: VrrpConfig, on_mastership_change: Callable[[bool], Awaitable[None]]) -> None:
+        self.config = config
         self.router = VirtualRouter(config.priority, config.interval, config.preempt, config.listen.host)
-        self.transport: asyncio.DatagramTransport | None = None
-        self.clock: asyncio.TimerHandle | None = None
-        self.news: asyncio.Queue[bool] = asyncio.Queue()
-        self.telling = asyncio.create_task(self.tell())
-        self.master = False
+        self._on_mastership_change = on_mastership_change
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.DatagramTransport | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._is_master = False
+        self._mastership_changes: asyncio.Queue[bool] = asyncio.Queue()
+        self._notifier: asyncio.Task[None] | None = None
 
     async def start(self) -> Address:
+        """Bind the socket and take part in the protocol.
+
+        Returns:
+            The address that the socket is bound to.
+
+        Raises:
+            OSError: the address cannot be bound.
+        """
         listen = self.config.listen
-        self.transport, _ = await self.loop.create_datagram_endpoint(
+        self._transport, _ = await self._loop.create_datagram_endpoint(
             lambda: self, local_addr=(listen.host, listen.port)
         )
-        self.after(self.router.startup(self.loop.time()))
-        return Address(*self.transport.get_extra_info("sockname")[:2])
+        self._notifier = asyncio.create_task(self._notify_mastership_changes())
+        self._apply(self.router.startup(self._loop.time()))
+        return Address(*self._transport.get_extra_info("sockname")[:2])
 
     async def stop(self) -> None:
-        """Say that this master leaves, so that a backup need not wait for its silence."""
-        self.after(self.router.shutdown())
-        if self.transport:
-            self.transport.close()
-        self.telling.cancel()
+        """Announce that this master leaves, so that a backup need not wait for the master-down interval."""
+        self._apply(self.router.shutdown())
+        if self._transport:
+            self._transport.close()
+        if self._notifier:
+            self._notifier.cancel()
+            await asyncio.wait([self._notifier])
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Hand an advertisement of a configured peer to the router; anything else is logged and ignored."""
+        source = addr[0]
         try:
-            if not any(peer.host == addr[0] for peer in self.config.peers):
-                raise AdvertisementError("not of a peer")
-            heard = decode(data)
-            if heard.router != self.config.router:
-                raise AdvertisementError(f"router {heard.router}")
+            advertisement = self._decode(data, source)
         except AdvertisementError as error:
-            log.warning("vrrp_skipped", why=str(error), source=addr[0])
+            log.warning("vrrp_advertisement_ignored", reason=str(error), source=source)
             return
-        self.after(self.router.received(heard, addr[0], self.loop.time()))
+        self._apply(self.router.advertisement_received(advertisement, source, self._loop.time()))
 
     def error_received(self, exc: Exception) -> None:
-        log.warning("vrrp_unreachable", why=str(exc))  # a peer that is down; its silence is what counts
-
-    def on_timer(self) -> None:
-        self.after(self.router.timer(self.loop.time()))
-
-    def after(self, priorities: list[int]) -> None:
-        """Send what an event asks for, set the next timer, and pass on a change of mastership."""
-        for priority in priorities:
-            self.advertise(priority)
-        if self.clock:
-            self.clock.cancel()
-        self.clock = self.loop.call_at(self.router.due, self.on_timer) if self.router.due < math.inf else None
-        master = self.router.state is State.MASTER
-        if master != self.master:
-            self.master = master
-            log.info("vrrp_master" if master else "vrrp_backup", router=self.config.router)
-            self.news.put_nowait(master)
-
-    def advertise(self, priority: int) -> None:
+        """Log a peer that cannot be reached; what counts for the protocol is that its advertisements stop."""
+        log.warning("vrrp_send_failed", reason=str(exc))
+
+    def _decode(self, data: bytes, source: str) -> Advertisement:
+        if not any(peer.host == source for peer in self.config.peers):
+            raise AdvertisementError("not of a peer")
+        advertisement = decode_advertisement(data)
+        if advertisement.router_id != self.config.router:
+            raise AdvertisementError(f"router {advertisement.router_id}")
+        return advertisement
+
+    def _timer_fired(self) -> None:
+        self._apply(self.router.timer_fired(self._loop.time()))
+
+    def _apply(self, priority: int | None) -> None:
+        """Send what an event returned, set the router's next timer, and pass on a change of mastership."""
+        if priority is not None:
+            self._advertise(priority)
+        self._set_timer()
+        is_master = self.router.state is RouterState.MASTER
+        if is_master == self._is_master:
+            return
+        self._is_master = is_master
+        log.info("vrrp_mastership_gained" if is_master else "vrrp_mastership_lost", router=self.config.router)
+        self._mastership_changes.put_nowait(is_master)
+
+    def _set_timer(self) -> None:
+        if self._timer:
+            self._timer.cancel()
+            self._timer = None
+        if self.router.timer_due < math.inf:
+            self._timer = self._loop.call_at(self.router.timer_due, self._timer_fired)
+
+    def _advertise(self, priority: int) -> None:
+        if self._transport is None:
+            return
         config = self.config
-        said = Advertisement(config.router, priority, config.interval, tuple(config.addresses))
+        message = encode_advertisement(
+            Advertisement(config.router, priority, config.interval, tuple(config.addresses))
+        )
         for peer in config.peers:
-            if self.transport:
-                self.transport.sendto(encode(said), (peer.host, peer.port))
+            self._transport.sendto(message, (peer.host, peer.port))
 
-    async def tell(self) -> None:
+    async def _notify_mastership_changes(self) -> None:
+        """Run until cancelled; a listener that cannot be opened is logged and does not end it."""
         while True:
-            master = await self.news.get()
+            is_master = await self._mastership_changes.get()
             try:
-                await self.changed(master)
+                await self._on_mastership_change(is_master)
             except OSError as error:
-                log.error("vrrp_change_failed", master=master, why=str(error))
+                log.error("vrrp_mastership_change_failed", is_master=is_master, reason=str(error))
--- a/tests/sftp/__init__.py
+++ b/tests/sftp/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the SFTP gateway, one file a module."""
--- a/tests/vrrp/__init__.py
+++ b/tests/vrrp/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of VRRP, one file a module."""
--- a/tests/vrrp/test_transport.py
+++ b/tests/vrrp/test_transport.py
@@ -1,4 +1,4 @@
-"""A takeover over UDP on loopback."""
+"""VRRP over UDP on loopback."""
 
 from __future__ import annotations
 
@@ -6,30 +6,56 @@
 import unittest
 
 from storage_gateway.config import Address, VrrpConfig
-from storage_gateway.vrrp.router import State
+from storage_gateway.vrrp.router import RouterState
 from storage_gateway.vrrp.transport import VrrpTransport
 
 
-class TakeoverStory(unittest.IsolatedAsyncioTestCase):
-    async def test_the_backup_is_master_once_the_master_has_left(self) -> None:
-        carriers: list[VrrpTransport] = []
-        news: list[asyncio.Queue[bool]] = []
-        for host, priority in (("127.0.0.1", 200), ("127.0.0.2", 100)):
-            heard: asyncio.Queue[bool] = asyncio.Queue()
-            config = VrrpConfig(Address(host, 0), [], 1, priority, 0.05, True, ["10.0.0.9"])
-            carriers.append(VrrpTransport(config, heard.put))
-            news.append(heard)
-        first = await carriers[0].start()
-        carriers[1].config.peers.append(first)
-        second = await carriers[1].start()
-        carriers[0].config.peers.append(second)
+def make_config(host: str, priority: int) -> VrrpConfig:
+    """Build the configuration of an instance of virtual router 1 that knows no peer yet."""
+    return VrrpConfig(Address(host, 0), [], 1, priority, 0.05, True, ["10.0.0.9"])
+
+
+def is_master(transport: VrrpTransport) -> bool:
+    """Tell whether the transport's router is master."""
+    return transport.router.state is RouterState.MASTER
+
+
+class VrrpTransportTest(unittest.IsolatedAsyncioTestCase):
+    """Two instances, or one."""
+
+    async def test_backup_is_master_once_the_master_has_stopped(self) -> None:
+        changes: list[asyncio.Queue[bool]] = [asyncio.Queue(), asyncio.Queue()]
+        first = VrrpTransport(make_config("127.0.0.1", 200), changes[0].put)
+        second = VrrpTransport(make_config("127.0.0.2", 100), changes[1].put)
+        second.config.peers.append(await first.start())
+        first.config.peers.append(await second.start())
         async with asyncio.timeout(5):
-            while not await news[0].get():
+            while not await changes[0].get():
                 pass
-            while carriers[1].router.state is State.MASTER:  # if it was first, it now hears of the other
-                await news[1].get()
-            await carriers[0].stop()
-            while not await news[1].get():
+            while is_master(second):  # it may have been master first, until the other's advertisement
+                await changes[1].get()
+            await first.stop()
+            while not await changes[1].get():
                 pass
-        assert carriers[1].router.state is State.MASTER
-        await carriers[1].stop()
+        assert is_master(second)
+        await second.stop()
+
+    async def test_stop_ends_a_notification_that_is_under_way(self) -> None:
+        is_notified = asyncio.Event()
+        is_cancelled = False
+
+        async def on_mastership_change(_: bool) -> None:
+            nonlocal is_cancelled
+            is_notified.set()
+            try:
+                await asyncio.Event().wait()
+            except asyncio.CancelledError:
+                is_cancelled = True
+                raise
+
+        transport = VrrpTransport(make_config("127.0.0.1", 255), on_mastership_change)
+        await transport.start()
+        async with asyncio.timeout(5):
+            await is_notified.wait()
+            await transport.stop()
+        assert is_cancelled
