--- a/storage_gateway/sftp/node_client.py
+++ b/storage_gateway/sftp/node_client.py
@@ -10,6 +10,7 @@
 from storage_gateway.errors import EndpointNotServingError, NotSentError, PacketError
 from storage_gateway.lifecycle import AttemptResult
 from storage_gateway.policy_api import AttemptOutcome
+from storage_gateway.sftp.codec import decode, encode, read_packet
 from storage_gateway.sftp.packets import (
     VERSION,
     Attrs,
@@ -29,9 +30,6 @@
     Status,
     Version,
     Write,
-    decode,
-    encode,
-    read_packet,
 )
 
 MOST_IDLE = 4  # connections kept to a box
--- a/storage_gateway/sftp/server.py
+++ b/storage_gateway/sftp/server.py
@@ -14,6 +14,7 @@
 from storage_gateway.config import SftpConfig, VolumePath
 from storage_gateway.errors import PacketError
 from storage_gateway.lifecycle import Rejected, RequestExecutor, Served
+from storage_gateway.sftp.codec import decode, encode, read_size
 from storage_gateway.sftp.node_client import Command, List, ReadRange, SftpNodeClient, Simple, Upload, changes
 from storage_gateway.sftp.packets import (
     VERSION,
@@ -43,9 +44,6 @@
     Status,
     Version,
     Write,
-    decode,
-    encode,
-    read_size,
 )
 
 MOST_WAITING = 8  # commands of a session that wait for their turn; then it is not read further
--- a/tests/sftp/test_server.py
+++ b/tests/sftp/test_server.py
@@ -12,13 +12,16 @@
 from storage_gateway import policy_api as api
 from storage_gateway.config import Address, SftpConfig, VolumePath
 from storage_gateway.endpoints.registry import EndpointRegistry
+from storage_gateway.errors import PacketError
 from storage_gateway.lifecycle import RequestExecutor
 from storage_gateway.policy_api import EndpointState
+from storage_gateway.sftp import codec
 from storage_gateway.sftp import packets as p
 from storage_gateway.sftp.node_client import SftpNodeClient
 from storage_gateway.sftp.server import SftpServer
-from tests.support.peers import FakeSftpNode, apply_endpoints, make_endpoint, make_two_class_settings
+from tests.support.peers import apply_endpoints, make_endpoint, make_two_class_settings
 from tests.support.policy import make_plan
+from tests.support.sftp import FakeSftpNode
 
 NONE = p.Attrs()
 STORE = p.Flags.WRITE | p.Flags.CREAT | p.Flags.TRUNC
@@ -33,8 +36,8 @@
 
     async def ask(self, packet: p.Packet) -> Any:
         self.last += 1
-        self.writer.write(p.encode(replace(packet, id=self.last)))
-        reply = p.decode(await p.read_packet(self.reader))
+        self.writer.write(codec.encode(replace(packet, id=self.last)))
+        reply = codec.decode(await codec.read_packet(self.reader))
         assert reply.id == self.last, reply
         return reply
 
@@ -76,8 +79,8 @@
         self.clients: list[Client] = []
         self.addAsyncCleanup(self.end)
         client = await self.connect()
-        client.writer.write(p.encode(p.Init(p.VERSION)))
-        assert p.decode(await p.read_packet(client.reader)) == p.Version(p.VERSION)
+        client.writer.write(codec.encode(p.Init(p.VERSION)))
+        assert codec.decode(await codec.read_packet(client.reader)) == p.Version(p.VERSION)
         return client
 
     async def connect(self) -> Client:
@@ -190,23 +193,25 @@
         for number in range(4):
             await client.ask(p.Open(0, f"/plats/{number}", STORE, NONE))
         self.failed(await client.ask(p.Open(0, "/plats/a", STORE, NONE)), p.Code.SSH_FX_FAILURE, "too many")
-        client.writer.write(p.u32(9) + bytes([200]) + p.u32(77) + p.u32(0))  # SSH_FXP_EXTENDED
-        reply = p.decode(await p.read_packet(client.reader))
+        client.writer.write(codec.u32(9) + bytes([200]) + codec.u32(77) + codec.u32(0))  # SSH_FXP_EXTENDED
+        reply = codec.decode(await codec.read_packet(client.reader))
         assert (reply.id, reply.code) == (77, p.Code.SSH_FX_OP_UNSUPPORTED)  # type: ignore
-        client.writer.write(p.u32(9) + bytes([17]) + p.u32(78) + p.u32(500))  # a path beyond the packet
-        reply = p.decode(await p.read_packet(client.reader))
+        client.writer.write(
+            codec.u32(9) + bytes([17]) + codec.u32(78) + codec.u32(500)
+        )  # a path beyond the packet
+        reply = codec.decode(await codec.read_packet(client.reader))
         assert (reply.id, reply.code) == (78, p.Code.SSH_FX_BAD_MESSAGE)  # type: ignore
-        client.writer.write(p.u32(1 << 30))  # a length that no packet has: the stream is lost
+        client.writer.write(codec.u32(1 << 30))  # a length that no packet has: the stream is lost
         assert await client.reader.read() == b""
         other = await self.connect()
-        other.writer.write(p.encode(p.Stat(5, "/plats")))
-        reply = p.decode(await p.read_packet(other.reader))
+        other.writer.write(codec.encode(p.Stat(5, "/plats")))
+        reply = codec.decode(await codec.read_packet(other.reader))
         self.failed(reply, p.Code.SSH_FX_BAD_MESSAGE, "INIT comes first")
         assert await other.reader.read() == b""
 
     async def test_a_client_that_leaves_takes_its_command_with_it(self) -> None:
         client = await self.begin(box := FakeSftpNode(silent=True))
-        client.writer.write(p.encode(p.Stat(1, "/plats/t1")))
+        client.writer.write(codec.encode(p.Stat(1, "/plats/t1")))
         async with asyncio.timeout(5):
             while not box.commands:
                 await asyncio.sleep(0.005)
@@ -224,8 +229,8 @@
             p.Write(3, b"h", 1 << 40, b"data"),
             p.Status(4, 8, "no", "en"),
         ):
-            raw = p.encode(packet)
-            assert p.decode(raw[4:]) == packet
+            raw = codec.encode(packet)
+            assert codec.decode(raw[4:]) == packet
             for cut in range(5, len(raw) - 4):
-                with pytest.raises(p.PacketError):
-                    p.decode(raw[4 : 4 + cut])
+                with pytest.raises(PacketError):
+                    codec.decode(raw[4 : 4 + cut])
