Rewrite the SFTP service in standard terms, with one handler per request

Cause: 22 packet classes repeated their fields and layouts; two of the functions had a cyclomatic complexity over 10; the command classes were imported and matched in two modules each; names such as front, boxes, line, Denied, converse and spoilt had to be explained. Change: - packets.py: packets of one payload share a base class; fields.py: codes, flags, attributes. - codec.py: the functions for a packet's fields are looked up once, at import. - commands.py: run_command (was converse), one function per command; Extent in place of a tuple. - request_handler.py: the requests of a session, one method each; handles.py: HandleTable; volumes.py: VolumeTree; scheduler.py: CommandScheduler; session.py and server.py keep the connection and the listener. - Denied -> CommandError (under GatewayError); changes() -> is_write of each command. - Log events: sftp_open -> sftp_listener_opened, sftp_closed -> sftp_listener_closed, sftp_too_many_sessions -> sftp_session_rejected, sftp_idle_closed -> sftp_session_timed_out, sftp_bad_stream -> sftp_stream_rejected, sftp_fault -> sftp_command_failed. - SftpServer.boxes stays as an alias of node_client for service.py. Tests: cut by module, with their builders in tests/support/sftp.py; 22 are new (codec bytes as of the draft, every packet class, handles, path tree, idle connections, shutdown within and beyond the grace).

--- a/storage_gateway/sftp/errors.py
+++ b/storage_gateway/sftp/errors.py
@@ -1,15 +1,20 @@
-"""Errors of file commands."""
+"""Errors of SFTP commands."""
 
 from __future__ import annotations
 
-from storage_gateway.sftp.packets import (
-    Code,
-)
+from storage_gateway.errors import GatewayError
+from storage_gateway.sftp.fields import StatusCode
 
 
-class Denied(Exception):
-    """A command answered without a box."""
+class CommandError(GatewayError):
+    """A command that the gateway itself answers with a status, and not with a node's reply.
 
-    def __init__(self, code: Code, message: str) -> None:
+    Attributes:
+        status_code: the code of the reply.
+        message: the text of the reply.
+    """
+
+    def __init__(self, status_code: StatusCode, message: str) -> None:
         super().__init__(message)
-        self.code, self.message = code, message
+        self.status_code = status_code
+        self.message = message
--- a/storage_gateway/sftp/packets.py
+++ b/storage_gateway/sftp/packets.py
@@ -1,239 +1,279 @@
-"""SFTP version 3 packets (draft-ietf-secsh-filexfer-02) as typed values."""
+"""SFTP version 3 packets (draft-ietf-secsh-filexfer-02, section 3) as typed values.
+
+Packets of the same payload share a base class, which states the fields once; a class that adds no field
+to it is no dataclass of its own and has empty slots. The names and the numbers of the types are the draft's.
+"""
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
-from enum import IntEnum, IntFlag
+from dataclasses import dataclass
 from typing import ClassVar
 
-VERSION = 3
+from storage_gateway.sftp.fields import DirectoryEntry, FieldKind, FileAttributes
+
+PROTOCOL_VERSION = 3
 
 
-Layout = tuple[str, ...]
+@dataclass(slots=True)
+class Packet:
+    """Base of all packets.
 
+    Attributes:
+        packet_type: the number that stands before the request id.
+        layout: the kinds of the fields after the request id, in the order in which the class states them.
+        request_id: pairs a reply with its request.
+    """
 
-class Code(IntEnum):
-    SSH_FX_OK = 0
-    SSH_FX_EOF = 1
-    SSH_FX_NO_SUCH_FILE = 2
-    SSH_FX_PERMISSION_DENIED = 3
-    SSH_FX_FAILURE = 4
-    SSH_FX_BAD_MESSAGE = 5
-    SSH_FX_NO_CONNECTION = 6
-    SSH_FX_CONNECTION_LOST = 7
-    SSH_FX_OP_UNSUPPORTED = 8
+    packet_type: ClassVar[int]
+    layout: ClassVar[tuple[FieldKind, ...]] = ()
+    request_id: int
 
 
-class Flags(IntFlag):
-    """pflags of SSH_FXP_OPEN."""
+@dataclass(slots=True)
+class VersionPacket(Packet):
+    """A packet of the handshake; it carries the sender's version in the place of a request id."""
+
+    layout = (FieldKind.REMAINDER,)
+    extensions: bytes = b""
 
-    READ = 1
-    WRITE = 2
-    APPEND = 4
-    CREAT = 8
-    TRUNC = 16
-    EXCL = 32
+    @property
+    def version(self) -> int:
+        """The highest version that the sender knows."""
+        return self.request_id
 
 
 @dataclass(slots=True)
-class Attrs:
-    """File attributes; None where they are not stated."""
+class PathPacket(Packet):
+    """A request about a path."""
 
-    size: int | None = None
-    owner: tuple[int, int] | None = None
-    permissions: int | None = None
-    times: tuple[int, int] | None = None
-    extended: list[tuple[bytes, bytes]] = field(default_factory=list)
+    layout = (FieldKind.TEXT,)
+    path: str
 
 
 @dataclass(slots=True)
-class Name:
-    filename: str
-    longname: str
-    attrs: Attrs
+class PathAttributesPacket(Packet):
+    """A request that sets the attributes of a path."""
 
+    layout = (FieldKind.TEXT, FieldKind.ATTRIBUTES)
+    path: str
+    attributes: FileAttributes
 
-@dataclass
-class Packet:
-    """``type`` is the SSH_FXP number, ``layout`` the kinds of the fields after the id, in their order."""
 
-    type: ClassVar[int]
-    layout: ClassVar[Layout]
-    id: int
+@dataclass(slots=True)
+class HandlePacket(Packet):
+    """A packet that holds an open handle and nothing else."""
 
+    layout = (FieldKind.STRING,)
+    handle: bytes
 
-@dataclass
-class Init(Packet):
-    """The id is the client's version."""
 
-    type: ClassVar[int] = 1
-    layout: ClassVar[Layout] = ("rest",)
-    extensions: bytes = b""
+class Init(VersionPacket):
+    """The client's first packet."""
 
+    __slots__ = ()
+    packet_type = 1
 
-@dataclass
-class Version(Packet):
-    """The id is the server's version."""
 
-    type: ClassVar[int] = 2
-    layout: ClassVar[Layout] = ("rest",)
-    extensions: bytes = b""
+class Version(VersionPacket):
+    """The reply to INIT."""
 
+    __slots__ = ()
+    packet_type = 2
 
-@dataclass
+
+@dataclass(slots=True)
 class Open(Packet):
-    type: ClassVar[int] = 3
-    layout: ClassVar[Layout] = ("text", "u32", "attrs")
+    """Open a file."""
+
+    packet_type = 3
+    layout = (FieldKind.TEXT, FieldKind.UINT32, FieldKind.ATTRIBUTES)
     path: str
     flags: int
-    attrs: Attrs
+    attributes: FileAttributes
 
 
-@dataclass
-class Close(Packet):
-    type: ClassVar[int] = 4
-    layout: ClassVar[Layout] = ("string",)
-    handle: bytes
+class Close(HandlePacket):
+    """Close a file or a directory."""
 
+    __slots__ = ()
+    packet_type = 4
 
-@dataclass
+
+@dataclass(slots=True)
 class Read(Packet):
-    type: ClassVar[int] = 5
-    layout: ClassVar[Layout] = ("string", "u64", "u32")
+    """Read at most ``length`` bytes of an open file."""
+
+    packet_type = 5
+    layout = (FieldKind.STRING, FieldKind.UINT64, FieldKind.UINT32)
     handle: bytes
     offset: int
     length: int
 
 
-@dataclass
+@dataclass(slots=True)
 class Write(Packet):
-    type: ClassVar[int] = 6
-    layout: ClassVar[Layout] = ("string", "u64", "string")
+    """Write to an open file."""
+
+    packet_type = 6
+    layout = (FieldKind.STRING, FieldKind.UINT64, FieldKind.STRING)
     handle: bytes
     offset: int
     data: bytes
 
 
-@dataclass
-class Lstat(Packet):
-    type: ClassVar[int] = 7
-    layout: ClassVar[Layout] = ("text",)
-    path: str
+class Lstat(PathPacket):
+    """Ask for the attributes of a path, not following a link."""
 
+    __slots__ = ()
+    packet_type = 7
 
-@dataclass
-class Fstat(Packet):
-    type: ClassVar[int] = 8
-    layout: ClassVar[Layout] = ("string",)
-    handle: bytes
 
+class Fstat(HandlePacket):
+    """Ask for the attributes of an open file."""
 
-@dataclass
-class Setstat(Packet):
-    type: ClassVar[int] = 9
-    layout: ClassVar[Layout] = ("text", "attrs")
-    path: str
-    attrs: Attrs
+    __slots__ = ()
+    packet_type = 8
 
 
-@dataclass
-class Opendir(Packet):
-    type: ClassVar[int] = 11
-    layout: ClassVar[Layout] = ("text",)
-    path: str
+class Setstat(PathAttributesPacket):
+    """Set the attributes of a path."""
 
+    __slots__ = ()
+    packet_type = 9
 
-@dataclass
-class Readdir(Packet):
-    type: ClassVar[int] = 12
-    layout: ClassVar[Layout] = ("string",)
-    handle: bytes
 
+class Opendir(PathPacket):
+    """Open a directory to list it."""
 
-@dataclass
-class Remove(Packet):
-    type: ClassVar[int] = 13
-    layout: ClassVar[Layout] = ("text",)
-    path: str
+    __slots__ = ()
+    packet_type = 11
 
 
-@dataclass
-class Mkdir(Packet):
-    type: ClassVar[int] = 14
-    layout: ClassVar[Layout] = ("text", "attrs")
-    path: str
-    attrs: Attrs
+class Readdir(HandlePacket):
+    """Ask for the next entries of an open directory."""
 
+    __slots__ = ()
+    packet_type = 12
 
-@dataclass
-class Rmdir(Packet):
-    type: ClassVar[int] = 15
-    layout: ClassVar[Layout] = ("text",)
-    path: str
 
+class Remove(PathPacket):
+    """Remove a file."""
 
-@dataclass
-class Realpath(Packet):
-    type: ClassVar[int] = 16
-    layout: ClassVar[Layout] = ("text",)
-    path: str
+    __slots__ = ()
+    packet_type = 13
 
 
-@dataclass
-class Stat(Packet):
-    type: ClassVar[int] = 17
-    layout: ClassVar[Layout] = ("text",)
-    path: str
+class Mkdir(PathAttributesPacket):
+    """Make a directory."""
+
+    __slots__ = ()
+    packet_type = 14
+
+
+class Rmdir(PathPacket):
+    """Remove an empty directory."""
+
+    __slots__ = ()
+    packet_type = 15
+
+
+class Realpath(PathPacket):
+    """Ask for the absolute form of a path."""
+
+    __slots__ = ()
+    packet_type = 16
+
+
+class Stat(PathPacket):
+    """Ask for the attributes of a path, following links."""
 
+    __slots__ = ()
+    packet_type = 17
 
-@dataclass
+
+@dataclass(slots=True)
 class Rename(Packet):
-    type: ClassVar[int] = 18
-    layout: ClassVar[Layout] = ("text", "text")
+    """Rename a file or a directory."""
+
+    packet_type = 18
+    layout = (FieldKind.TEXT, FieldKind.TEXT)
     path: str
     target: str
 
 
-@dataclass
+@dataclass(slots=True)
 class Status(Packet):
-    type: ClassVar[int] = 101
-    layout: ClassVar[Layout] = ("u32", "text", "text")
+    """A reply that holds a ``StatusCode`` (or a later version's code) and its reason."""
+
+    packet_type = 101
+    layout = (FieldKind.UINT32, FieldKind.TEXT, FieldKind.TEXT)
     code: int
     message: str = ""
     language: str = "en"
 
 
-@dataclass
-class Handle(Packet):
-    type: ClassVar[int] = 102
-    layout: ClassVar[Layout] = ("string",)
-    handle: bytes
+class Handle(HandlePacket):
+    """The reply that grants a handle."""
+
+    __slots__ = ()
+    packet_type = 102
 
 
-@dataclass
+@dataclass(slots=True)
 class Data(Packet):
-    type: ClassVar[int] = 103
-    layout: ClassVar[Layout] = ("string",)
+    """The reply that holds a file's bytes."""
+
+    packet_type = 103
+    layout = (FieldKind.STRING,)
     data: bytes
 
 
-@dataclass
-class Names(Packet):
-    type: ClassVar[int] = 104
-    layout: ClassVar[Layout] = ("names",)
-    names: list[Name]
+@dataclass(slots=True)
+class Name(Packet):
+    """The reply that holds directory entries."""
 
+    packet_type = 104
+    layout = (FieldKind.ENTRIES,)
+    entries: list[DirectoryEntry]
 
-@dataclass
-class AttrsReply(Packet):
-    type: ClassVar[int] = 105
-    layout: ClassVar[Layout] = ("attrs",)
-    attrs: Attrs
 
+@dataclass(slots=True)
+class Attributes(Packet):
+    """The reply that holds a file's attributes (SSH_FXP_ATTRS)."""
+
+    packet_type = 105
+    layout = (FieldKind.ATTRIBUTES,)
+    attributes: FileAttributes
 
-@dataclass
-class Unsupported(Packet):
-    """A packet of another type; it is known by its id alone."""
 
-    type: ClassVar[int] = 0
-    layout: ClassVar[Layout] = ()
+class Unsupported(Packet):
+    """A packet of an unknown type, which is 0 here; it is known by its request id alone."""
+
+    __slots__ = ()
+    packet_type = 0
+
+
+PACKET_CLASSES: tuple[type[Packet], ...] = (
+    Init,
+    Version,
+    Open,
+    Close,
+    Read,
+    Write,
+    Lstat,
+    Fstat,
+    Setstat,
+    Opendir,
+    Readdir,
+    Remove,
+    Mkdir,
+    Rmdir,
+    Realpath,
+    Stat,
+    Rename,
+    Status,
+    Handle,
+    Data,
+    Name,
+    Attributes,
+)  # the packets that are decoded
--- a/storage_gateway/sftp/session.py
+++ b/storage_gateway/sftp/session.py
@@ -1,251 +1,134 @@
-"""One client's connection: its commands, in turn."""
+"""One client's connection: reads its packets and answers them in turn."""
 
 from __future__ import annotations
 
 import asyncio
-import posixpath
 from dataclasses import replace
-from typing import TYPE_CHECKING, TypeVar
+from enum import Enum
 
 import structlog
 
 from storage_gateway.errors import PacketError
-from storage_gateway.sftp.codec import decode, encode, read_size
-from storage_gateway.sftp.commands import List, ReadRange, Simple, Upload
-from storage_gateway.sftp.errors import Denied
-from storage_gateway.sftp.handles import Listed, Reading, Writing
-from storage_gateway.sftp.packets import (
-    VERSION,
-    Attrs,
-    AttrsReply,
-    Close,
-    Code,
-    Flags,
-    Fstat,
-    Handle,
-    Init,
-    Lstat,
-    Mkdir,
-    Name,
-    Names,
-    Open,
-    Opendir,
-    Packet,
-    Read,
-    Readdir,
-    Realpath,
-    Remove,
-    Rename,
-    Rmdir,
-    Setstat,
-    Stat,
-    Status,
-    Version,
-    Write,
-)
-
-if TYPE_CHECKING:
-    from storage_gateway.sftp.server import SftpServer
-
-MOST_WAITING = 8  # commands of a session that wait for their turn; then it is not read further
-MOST_LISTED = 40_000  # names held for all sessions together
-NAMES_A_REPLY = 64
-DIRECTORY = 0o040755
-STALL = 30.0  # seconds for a client to take an answer
+from storage_gateway.sftp.codec import decode_packet, encode_packet, read_packet_length
+from storage_gateway.sftp.errors import CommandError
+from storage_gateway.sftp.fields import StatusCode
+from storage_gateway.sftp.packets import PROTOCOL_VERSION, Init, Packet, Status, Version
+from storage_gateway.sftp.request_handler import RequestHandler
+
+MAX_QUEUED_PACKETS = 8  # requests that wait for their turn; with as many, the socket is not read further
+TRANSFER_TIMEOUT_S = 30.0  # for a client to send the rest of a packet, and to receive a reply
 log = structlog.get_logger()
-H = TypeVar("H")
 
 
-class Session:
-    """One client's connection. Its commands are answered in turn; while one waits, a close is noticed."""
+class _StreamEnd(Enum):
+    """Why no further packet is read."""
+
+    CLOSED = "closed"  # by the client, or for its idleness
+    INVALID = "invalid"  # what came is no packet, but the client is there
 
-    def __init__(self, front: SftpServer, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.front, self.reader, self.writer = front, reader, writer
-        self.handles: dict[bytes, Reading | Writing | Listed] = {}
-        self.numbered = 0
-        self.queue: asyncio.Queue[bytes | None] = asyncio.Queue(MOST_WAITING)
-        self.leaving, self.busy, self.ended = False, False, asyncio.Event()
-        self.working: asyncio.Task[None] | None = None
+
+class Session:
+    """One client's connection; ``run`` owns it and its two tasks, which read and answer."""
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        handler: RequestHandler,
+        idle_timeout_s: float,
+    ) -> None:
+        self.handler = handler
+        self._reader = reader
+        self._writer = writer
+        self._idle_timeout_s = idle_timeout_s
+        self._packets: asyncio.Queue[bytes | None] = asyncio.Queue(MAX_QUEUED_PACKETS)
+        self._worker: asyncio.Task[None] | None = None
+        self._is_draining = False
+        self._is_busy = False
+        self._ended = asyncio.Event()
 
     async def run(self) -> None:
-        self.working = asyncio.create_task(self.work())
-        reading = asyncio.create_task(self.read())
+        """Serve the client until it closes, breaks the protocol, or the session is ended."""
+        worker = self._worker = asyncio.create_task(self._answer_packets())
+        reading = asyncio.create_task(self._read_packets())
         try:
-            done, _ = await asyncio.wait({reading, self.working}, return_when=asyncio.FIRST_COMPLETED)
-            if reading in done and reading.result():
-                await self.queue.put(None)  # a bad stream, but the client is there: answer what came before
-                await self.working
+            done, _ = await asyncio.wait({reading, worker}, return_when=asyncio.FIRST_COMPLETED)
+            if reading in done and reading.result() is _StreamEnd.INVALID:
+                await self._packets.put(None)  # the requests that came before are still answered
+                await worker
         finally:
-            for task in (reading, self.working):
-                task.cancel()  # a client that closed is withdrawn by this
-            await asyncio.gather(reading, self.working, return_exceptions=True)
-            self.writer.close()
-            self.ended.set()
-
-    async def read(self) -> bool:
-        """Queue packets until the client closes (False) or sends what is none (True)."""
+            for task in (reading, worker):
+                task.cancel()  # this also cancels the command of a client that has closed
+            await asyncio.gather(reading, worker, return_exceptions=True)
+            self._writer.close()
+            self._ended.set()
+
+    def begin_shutdown(self) -> None:
+        """End after the command in hand, or at once where there is none."""
+        self._is_draining = True
+        if not self._is_busy and self._worker:
+            self._worker.cancel()
+
+    async def wait_ended(self) -> None:
+        """Return once ``run`` is over."""
+        await self._ended.wait()
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        self._writer.transport.abort()
+
+    async def _read_packets(self) -> _StreamEnd:
         while True:
             try:
-                async with asyncio.timeout(self.front.config.idle_timeout_s):
-                    size = await read_size(self.reader)
-                async with asyncio.timeout(STALL):
-                    raw = await self.reader.readexactly(size)
-                await self.queue.put(raw)
+                async with asyncio.timeout(self._idle_timeout_s):
+                    length = await read_packet_length(self._reader)
+                async with asyncio.timeout(TRANSFER_TIMEOUT_S):
+                    raw = await self._reader.readexactly(length)
+                await self._packets.put(raw)
             except TimeoutError:
-                log.info("sftp_idle_closed")
-                return False
+                log.info("sftp_session_timed_out")
+                return _StreamEnd.CLOSED
             except (EOFError, OSError):
-                return False
+                return _StreamEnd.CLOSED
             except PacketError as error:
-                log.warning("sftp_bad_stream", why=str(error))
-                return True
-
-    async def work(self) -> None:
-        first = True
-        while (raw := await self.queue.get()) is not None and not self.leaving:
-            self.busy = True
-            reply = await self.answer(raw, first)
-            first = False
-            self.writer.write(encode(reply))
+                log.warning("sftp_stream_rejected", reason=str(error))
+                return _StreamEnd.INVALID
+
+    async def _answer_packets(self) -> None:
+        is_first = True
+        while (raw := await self._packets.get()) is not None and not self._is_draining:
+            self._is_busy = True
+            reply = await self._answer(raw, is_first)
+            is_first = False
+            self._writer.write(encode_packet(reply))
             try:
-                async with asyncio.timeout(STALL):
-                    await self.writer.drain()
-            except (TimeoutError, OSError):
+                async with asyncio.timeout(TRANSFER_TIMEOUT_S):
+                    await self._writer.drain()
+            except OSError:  # a time-out is one too
                 return
-            self.busy = False
-            if isinstance(reply, Status) and reply.id == 0 and reply.code == Code.SSH_FX_BAD_MESSAGE:
+            self._is_busy = False
+            if _is_fatal(reply):
                 return
 
-    def leave(self) -> None:
-        """End after the command in hand."""
-        self.leaving = True
-        if not self.busy and self.working:
-            self.working.cancel()
-
-    async def answer(self, raw: bytes, first: bool) -> Packet:
+    async def _answer(self, raw: bytes, is_first: bool) -> Packet:
         try:
-            packet = decode(raw)
+            packet = decode_packet(raw)
         except PacketError as error:
-            return Status(error.request_id or 0, Code.SSH_FX_BAD_MESSAGE, str(error))
-        if isinstance(packet, Init) != first:
-            return Status(0, Code.SSH_FX_BAD_MESSAGE, "INIT comes first, and once")
+            return Status(error.request_id or 0, StatusCode.BAD_MESSAGE, str(error))
+        if isinstance(packet, Init) != is_first:
+            return Status(0, StatusCode.BAD_MESSAGE, "INIT comes first, and once")
         if isinstance(packet, Init):
-            return Version(VERSION)
+            return Version(PROTOCOL_VERSION)
         try:
-            reply = await self.command(packet)
-        except Denied as denied:
-            reply = Status(0, denied.code, denied.message)
-        except Exception:
-            log.exception("sftp_fault")
-            reply = Status(0, Code.SSH_FX_FAILURE, "internal error")
-        return replace(reply, id=packet.id)
-
-    async def command(self, packet: Packet) -> Packet:
-        """One command, top to bottom."""
-        front = self.front
-        match packet:
-            case Realpath(_, path):
-                return Names(0, [Name(absolute(path), absolute(path), Attrs())])
-            case Open(_, path, flags, attrs):
-                return await self.open(absolute(path), flags, attrs)
-            case Read(_, handle, offset, length):
-                path = self.handle(handle, Reading).path
-                length = min(length, front.config.max_upload_bytes)
-                command = ReadRange(path, offset, length)
-                return await front.schedule(path, f"{path}@{offset}", length, command)
-            case Write(_, handle, offset, data):
-                return self.gather(self.handle(handle, Writing), offset, data)
-            case Close(_, handle):
-                held = self.handles.pop(handle, None)
-                if isinstance(held, Writing):
-                    return await self.upload(held)
-                return ok() if held else Status(0, Code.SSH_FX_FAILURE, "unknown handle")
-            case Opendir(_, path):
-                path = absolute(path)
-                self.room()
-                if above := front.above(path):
-                    return self.hold(Listed(path, above))
-                if front.listed() > MOST_LISTED:
-                    raise Denied(Code.SSH_FX_FAILURE, "too many listings are open")
-                found = await front.schedule(path, path, 0, List(path))
-                return self.hold(Listed(path, found.names)) if isinstance(found, Names) else found
-            case Readdir(_, handle):
-                listed = self.handle(handle, Listed)
-                part, listed.names = listed.names[:NAMES_A_REPLY], listed.names[NAMES_A_REPLY:]
-                return Names(0, part) if part else Status(0, Code.SSH_FX_EOF, "end of listing")
-            case Fstat(_, handle):
-                held = self.handles.get(handle)
-                if isinstance(held, Writing):
-                    return AttrsReply(0, replace(held.attrs, size=held.size))
-                if held is None:
-                    raise Denied(Code.SSH_FX_FAILURE, "unknown handle")
-                return await front.schedule(held.path, held.path, 0, Simple(Stat(0, held.path), False))
-            case Stat(_, path) | Lstat(_, path):
-                path = absolute(path)
-                if front.above(path):
-                    return AttrsReply(0, Attrs(permissions=DIRECTORY))
-                return await front.schedule(path, path, 0, Simple(replace(packet, path=path), False))
-            case Remove(_, path) | Rmdir(_, path) | Mkdir(_, path) | Setstat(_, path):
-                path = absolute(path)
-                return await front.schedule(path, path, 0, Simple(replace(packet, path=path), True))
-            case Rename(_, path, target):
-                path, target = absolute(path), absolute(target)
-                if front.volume(path) != front.volume(target):
-                    raise Denied(Code.SSH_FX_FAILURE, "a rename stays within its volume")
-                return await front.schedule(path, path, 0, Simple(Rename(0, path, target), True))
-            case _:
-                return Status(0, Code.SSH_FX_OP_UNSUPPORTED, "unsupported command")
-
-    async def open(self, path: str, flags: int, attrs: Attrs) -> Packet:
-        self.front.volume(path)
-        self.room()
-        wanted = flags & (Flags.READ | Flags.WRITE)
-        if wanted == Flags.WRITE:
-            return self.hold(Writing(path, flags, attrs))
-        if wanted != Flags.READ:
-            raise Denied(Code.SSH_FX_OP_UNSUPPORTED, "open for reading or for writing, not both")
-        found = await self.front.schedule(path, path, 0, Simple(Stat(0, path), False))
-        return self.hold(Reading(path)) if isinstance(found, AttrsReply) else found
-
-    def gather(self, held: Writing, offset: int, data: bytes) -> Packet:
-        most = self.front.config.max_upload_bytes
-        if held.size + len(data) > most:
-            held.spoilt = True
-            raise Denied(Code.SSH_FX_FAILURE, f"an upload holds at most {most} bytes")
-        held.size += len(data)
-        if held.pieces and sum((held.pieces[-1][0], len(held.pieces[-1][1]))) == offset:
-            start, before = held.pieces.pop()
-            offset, data = start, before + data
-        held.pieces.append((offset, data))
-        return ok()
-
-    async def upload(self, held: Writing) -> Packet:
-        """The one write of an upload; the status of CLOSE is its outcome."""
-        if held.spoilt:
-            raise Denied(Code.SSH_FX_FAILURE, "not stored: a write to this handle was turned down")
-        command = Upload(held.path, held.flags, held.attrs, held.pieces)
-        return await self.front.schedule(held.path, held.path, held.size, command)
-
-    def room(self) -> None:
-        if len(self.handles) >= self.front.config.max_handles:
-            raise Denied(Code.SSH_FX_FAILURE, "too many open handles")
-
-    def hold(self, held: Reading | Writing | Listed) -> Handle:
-        self.numbered += 1
-        handle = str(self.numbered).encode()
-        self.handles[handle] = held
-        return Handle(0, handle)
-
-    def handle(self, handle: bytes, kind: type[H]) -> H:
-        held = self.handles.get(handle)
-        if not isinstance(held, kind):
-            raise Denied(Code.SSH_FX_FAILURE, "unknown handle, or of another kind")
-        return held
-
-
-def absolute(path: str) -> str:
-    return "/" + posixpath.normpath("/" + path).lstrip("/")
-
-
-def ok() -> Status:
-    return Status(0, Code.SSH_FX_OK, "ok")
+            reply = await self.handler.handle(packet)
+        except CommandError as error:
+            reply = Status(0, error.status_code, error.message)
+        except Exception:  # guards the session: a fault of one command is that command's failure
+            log.exception("sftp_command_failed")
+            reply = Status(0, StatusCode.FAILURE, "internal error")
+        return replace(reply, request_id=packet.request_id)
+
+
+def _is_fatal(reply: Packet) -> bool:
+    """Tell whether the client must be disconnected: the reply could not be paired with a request."""
+    return isinstance(reply, Status) and reply.request_id == 0 and reply.code == StatusCode.BAD_MESSAGE
--- a/tests/sftp/__init__.py
+++ b/tests/sftp/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the SFTP gateway, one file a module."""
+"""Tests of the SFTP service, one file a module."""
--- /dev/null
+++ b/tests/sftp/test_session.py
@@ -0,0 +1,63 @@
+"""A client's connection: what is no packet, wrong handles, and a client that closes."""
+
+from __future__ import annotations
+
+import asyncio
+
+from storage_gateway.sftp import packets
+from storage_gateway.sftp.codec import encode_packet, pack_uint32
+from storage_gateway.sftp.fields import OpenFlags, StatusCode
+from tests.support.sftp import (
+    NO_ATTRIBUTES,
+    STORE_FLAGS,
+    FakeSftpNode,
+    SftpServerCase,
+    assert_status,
+    wait_until,
+)
+
+
+class SessionTest(SftpServerCase):
+    """One server, one or two clients."""
+
+    async def test_wrong_packets_handles_and_commands_are_distinguished(self) -> None:
+        client = await self.start(FakeSftpNode())
+        closed = await client.request(packets.Close(0, b"99"))
+        assert_status(closed, StatusCode.FAILURE, "unknown handle")
+        read = await client.request(packets.Read(0, b"99", 0, 1))
+        assert_status(read, StatusCode.FAILURE, "unknown handle")
+        both = packets.Open(0, "/plats/a", OpenFlags.READ | OpenFlags.WRITE, NO_ATTRIBUTES)
+        assert_status(await client.request(both), StatusCode.OP_UNSUPPORTED, "not both")
+        for number in range(4):
+            await client.request(packets.Open(0, f"/plats/{number}", STORE_FLAGS, NO_ATTRIBUTES))
+        fifth = await client.request(packets.Open(0, "/plats/a", STORE_FLAGS, NO_ATTRIBUTES))
+        assert_status(fifth, StatusCode.FAILURE, "too many")
+        extended = pack_uint32(9) + bytes([200]) + pack_uint32(77) + pack_uint32(0)  # SSH_FXP_EXTENDED
+        client.writer.write(extended)
+        reply = await client.receive()
+        assert (reply.request_id, reply.code) == (77, StatusCode.OP_UNSUPPORTED)
+        beyond_packet = pack_uint32(9) + bytes([17]) + pack_uint32(78) + pack_uint32(500)
+        client.writer.write(beyond_packet)  # a path that is longer than the packet
+        reply = await client.receive()
+        assert (reply.request_id, reply.code) == (78, StatusCode.BAD_MESSAGE)
+        client.writer.write(pack_uint32(1 << 30))  # a length that no packet has: the stream is lost
+        assert await client.reader.read() == b""
+        other = await self.connect()
+        other.writer.write(encode_packet(packets.Stat(5, "/plats")))
+        reply = await other.receive()
+        assert_status(reply, StatusCode.BAD_MESSAGE, "INIT comes first")
+        assert await other.reader.read() == b""
+
+    async def test_client_that_closes_cancels_its_command(self) -> None:
+        node = FakeSftpNode(never_replies=True)
+        client = await self.start(node)
+        client.writer.write(encode_packet(packets.Stat(1, "/plats/t1")))
+        async with asyncio.timeout(5):
+            await wait_until(lambda: bool(node.requests))
+            client.writer.close()
+            await wait_until(lambda: not (node.open or self.executor.pending or self.server.sessions))
+
+    async def test_session_that_is_idle_too_long_is_closed(self) -> None:
+        client = await self.start(idle_timeout_s=0.05)
+        async with asyncio.timeout(5):
+            assert await client.reader.read() == b""
