--- a/storage_gateway/sftp/codec.py
+++ b/storage_gateway/sftp/codec.py
@@ -96,7 +96,7 @@
         self._position = 0
 
     def is_at_end(self) -> bool:
-        """Tell whether all bytes have been taken."""
+        """Return whether all bytes have been taken."""
         return self._position == len(self._raw)
 
     def take(self, size: int) -> bytes:
--- a/storage_gateway/sftp/commands.py
+++ b/storage_gateway/sftp/commands.py
@@ -12,7 +12,7 @@
 from storage_gateway.sftp.node_connection import SftpConnection
 
 MAX_LISTING_ENTRIES = 20_000
-WRITE_CHUNK_BYTES = 32 * 1024  # what every server must accept in a WRITE (section 6.4 of the draft)
+WRITE_CHUNK_BYTES = 32 * 1024  # what every server must accept in a WRITE (section 3 of the draft)
 
 
 @dataclass(slots=True)
@@ -107,7 +107,7 @@
 
 
 def _is_end_of_listing(reply: packets.Packet) -> bool:
-    """Tell whether the reply ends a listing: the status of the draft, or a reply without entries."""
+    """Return whether the reply ends a listing: the status of the draft, or a reply without entries."""
     if isinstance(reply, packets.Status):
         return reply.code == StatusCode.EOF
     return isinstance(reply, packets.Name)
--- a/storage_gateway/sftp/fields.py
+++ b/storage_gateway/sftp/fields.py
@@ -78,7 +78,7 @@
 
 @dataclass(slots=True)
 class DirectoryEntry:
-    """A name of SSH_FXP_NAME; ``long_name`` is a line as of ``ls -l``."""
+    """An entry of SSH_FXP_NAME; ``long_name`` is formatted as by ``ls -l``."""
 
     filename: str
     long_name: str
--- a/storage_gateway/sftp/node_connection.py
+++ b/storage_gateway/sftp/node_connection.py
@@ -65,7 +65,7 @@
         return reply
 
     def is_usable(self) -> bool:
-        """Tell whether neither side has closed it, as far as is known."""
+        """Return whether neither side has closed it, as far as is known."""
         return not self._reader.at_eof() and not self._writer.is_closing()
 
     def abort(self) -> None:
--- a/storage_gateway/sftp/packets.py
+++ b/storage_gateway/sftp/packets.py
@@ -122,14 +122,14 @@
 
 
 class Lstat(PathPacket):
-    """Ask for the attributes of a path, not following a link."""
+    """Get the attributes of a path, not following a link."""
 
     __slots__ = ()
     packet_type = 7
 
 
 class Fstat(HandlePacket):
-    """Ask for the attributes of an open file."""
+    """Get the attributes of an open file."""
 
     __slots__ = ()
     packet_type = 8
@@ -150,7 +150,7 @@
 
 
 class Readdir(HandlePacket):
-    """Ask for the next entries of an open directory."""
+    """Get the next entries of an open directory."""
 
     __slots__ = ()
     packet_type = 12
@@ -178,14 +178,14 @@
 
 
 class Realpath(PathPacket):
-    """Ask for the absolute form of a path."""
+    """Get the absolute form of a path."""
 
     __slots__ = ()
     packet_type = 16
 
 
 class Stat(PathPacket):
-    """Ask for the attributes of a path, following links."""
+    """Get the attributes of a path, following links."""
 
     __slots__ = ()
     packet_type = 17
--- a/storage_gateway/sftp/session.py
+++ b/storage_gateway/sftp/session.py
@@ -130,5 +130,5 @@
 
 
 def _is_fatal(reply: Packet) -> bool:
-    """Tell whether the client must be disconnected: the reply could not be paired with a request."""
+    """Return whether the client must be disconnected: the reply could not be paired with a request."""
     return isinstance(reply, Status) and reply.request_id == 0 and reply.code == StatusCode.BAD_MESSAGE
--- a/tests/vrrp/test_transport.py
+++ b/tests/vrrp/test_transport.py
@@ -16,7 +16,7 @@
 
 
 def is_master(transport: VrrpTransport) -> bool:
-    """Tell whether the transport's router is master."""
+    """Return whether the transport's router is master."""
     return transport.router.state is RouterState.MASTER
 
 
