--- a/tests/sftp/__init__.py
+++ b/tests/sftp/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the SFTP service, one file a module."""
