Name the configuration's parts in standard terms and cut its readers into functions

Constants carry their unit or MAX_/MIN_/DEFAULT_, Table is ConfigTable with a method a value type, and one function reads one table. read_services returns ServicesConfig in place of a bare tuple.

Every error keeps its key and text.

--- a/storage_gateway/config/__init__.py
+++ b/storage_gateway/config/__init__.py
@@ -5,22 +5,28 @@
     Address,
     ConnectionBudget,
     GatewayConfig,
+    ReloadResult,
     SftpConfig,
     VolumePath,
     VrrpConfig,
 )
-from storage_gateway.config.services import read_services
+from storage_gateway.config.services import ServicesConfig, read_services
 from storage_gateway.config.settings import read_settings
-from storage_gateway.config.table import finite, read_address
+from storage_gateway.config.table import is_finite_number, read_address
+
+finite = is_finite_number  # the earlier name, until its callers have the new one
 
 __all__ = [
     "Address",
     "ConnectionBudget",
     "GatewayConfig",
+    "ReloadResult",
+    "ServicesConfig",
     "SftpConfig",
     "VolumePath",
     "VrrpConfig",
     "finite",
+    "is_finite_number",
     "read_address",
     "read_configuration",
     "read_services",
--- a/storage_gateway/config/services.py
+++ b/storage_gateway/config/services.py
@@ -1,85 +1,132 @@
-"""The services beside HTTP that the deployment's file sets up: SFTP and VRRP."""
+"""The services file of a deployment: SFTP for clients that use files, and VRRP between instances."""
 
 from __future__ import annotations
 
 import tomllib
 from collections.abc import Mapping
+from dataclasses import dataclass
 from pathlib import Path
 
 from storage_gateway.config.schema import SftpConfig, VolumePath, VrrpConfig
-from storage_gateway.config.table import Table, read_address
+from storage_gateway.config.table import MAX_PORT, ConfigTable, read_address
 from storage_gateway.errors import ConfigurationError
 
-MOST_WRITE = 64 * 1024  # bytes of a body, and so of an upload, unless the fronts file says less
-FRONTS = Path(__file__).resolve().parents[2] / "deploy" / "fronts.toml"
+DEFAULT_SERVICES_FILE = Path(__file__).resolve().parents[2] / "deploy" / "fronts.toml"
+MAX_UPLOAD_BYTES = 64 * 1024  # an upload is one request to a storage node, whose body is no longer
+DEFAULT_UNIT_BYTES = 8192
+MAX_HANDLES = 1024
+DEFAULT_MAX_HANDLES = 16
+DEFAULT_IDLE_TIMEOUT_S = 60.0
+DEFAULT_COMMAND_TIMEOUT_S = 1.5
+MAX_SHARD = 1 << 31
+MAX_VOLUME_GATEWAY_COUNT = 1 << 16
+MAX_ROUTER_ID = 255  # one octet of an advertisement, as the priority
+MAX_PRIORITY = 255
+DEFAULT_PRIORITY = 100
+MAX_INTERVAL_CS = 4095  # 12 bits of an advertisement
+DEFAULT_INTERVAL_CS = 100
+
+
+@dataclass(slots=True, frozen=True)
+class ServicesConfig:
+    """The services beside HTTP; one that is off is None."""
+
+    sftp: SftpConfig | None = None
+    vrrp: VrrpConfig | None = None
 
 
 def read_services(
-    path: Path, classes: Mapping[str, int], plans: Mapping[str, int]
-) -> tuple[SftpConfig | None, VrrpConfig | None]:
-    """The fronts file of the deployment; a front whose table is absent or not ``enabled`` is off."""
+    path: Path, class_indexes: Mapping[str, int], plan_indexes: Mapping[str, int]
+) -> ServicesConfig:
+    """Read the services file; a service whose table is absent or not ``enabled`` is off.
+
+    Args:
+        path: the file, in TOML; where there is none, all services are off.
+        class_indexes: index of each request class by its name.
+        plan_indexes: index of each plan by its name.
+
+    Raises:
+        ConfigurationError: the file cannot be read, or a key of it is faulty or unknown.
+    """
     try:
         values = tomllib.loads(path.read_text())
     except FileNotFoundError:
-        return None, None
+        return ServicesConfig()
     except (OSError, ValueError) as error:
         raise ConfigurationError(path.name, str(error)) from error
-    root = Table(values, f"{path.name}: ")
-    sftp = read_sftp(root.table("sftp", {}), classes, plans)
-    vrrp = read_vrrp(root.table("vrrp", {}))
-    root.nothing_else()
-    return sftp, vrrp
+    root = ConfigTable(values, f"{path.name}: ")
+    sftp = _read_sftp(root.table("sftp", {}), class_indexes, plan_indexes)
+    vrrp = _read_vrrp(root.table("vrrp", {}))
+    root.reject_unknown_keys()
+    return ServicesConfig(sftp, vrrp)
 
 
-def read_sftp(table: Table, classes: Mapping[str, int], plans: Mapping[str, int]) -> SftpConfig | None:
-    enabled = table.flag("enabled")
-    if not enabled:
+def _read_sftp(
+    table: ConfigTable, class_indexes: Mapping[str, int], plan_indexes: Mapping[str, int]
+) -> SftpConfig | None:
+    if not table.boolean("enabled"):
         return None
-    volumes = []
-    for entry in table.tables("volume"):
-        prefix = entry.text("path")
-        if not prefix.startswith("/") or prefix != "/" + prefix.strip("/"):
-            raise entry.fail("path", f"want an absolute path without a closing slash, found {prefix!r}")
-        digits = entry.text("volume")
-        try:
-            volume = int(digits, 16)
-        except ValueError as error:
-            raise entry.fail("volume", f"want hex digits, found {digits!r}") from error
-        plan, cell = entry.one_of("plan", plans), entry.whole("shard", -1, 1 << 31)
-        volumes.append(VolumePath(prefix, volume, plan, cell, entry.whole("hosts", 1, 1 << 16, 1)))
-        entry.nothing_else()
-    front = SftpConfig(
+    volumes = [_read_volume(entry, plan_indexes) for entry in table.tables("volume")]
+    config = SftpConfig(
         listen=table.address("listen"),
         volumes=sorted(volumes, key=lambda volume: -len(volume.prefix)),
-        read_class=table.one_of("read_class", classes),
-        write_class=table.one_of("write_class", classes),
-        node_port=table.whole("box_port", 0, 65535, 0),
-        max_upload_bytes=table.whole("most_upload", 1, MOST_WRITE, MOST_WRITE),
-        unit_bytes=table.whole("unit_bytes", 1, MOST_WRITE, 8192),
-        max_handles=table.whole("most_handles", 1, 1024, 16),
-        idle_timeout_s=table.number("idle_s", 60.0),
-        command_timeout_s=table.number("deadline_s", 1.5),
+        read_class=table.choice("read_class", class_indexes),
+        write_class=table.choice("write_class", class_indexes),
+        node_port=table.integer("box_port", 0, MAX_PORT, 0),
+        max_upload_bytes=table.integer("most_upload", 1, MAX_UPLOAD_BYTES, MAX_UPLOAD_BYTES),
+        unit_bytes=table.integer("unit_bytes", 1, MAX_UPLOAD_BYTES, DEFAULT_UNIT_BYTES),
+        max_handles=table.integer("most_handles", 1, MAX_HANDLES, DEFAULT_MAX_HANDLES),
+        idle_timeout_s=table.number("idle_s", DEFAULT_IDLE_TIMEOUT_S),
+        command_timeout_s=table.number("deadline_s", DEFAULT_COMMAND_TIMEOUT_S),
     )
-    table.nothing_else()
-    return front
+    table.reject_unknown_keys()
+    return config
+
 
+def _read_volume(table: ConfigTable, plan_indexes: Mapping[str, int]) -> VolumePath:
+    prefix = table.text("path")
+    if not prefix.startswith("/") or prefix != "/" + prefix.strip("/"):
+        raise table.error("path", f"want an absolute path without a closing slash, found {prefix!r}")
+    volume = VolumePath(
+        prefix=prefix,
+        volume_id=_read_volume_id(table),
+        plan_index=table.choice("plan", plan_indexes),
+        shard=table.integer("shard", -1, MAX_SHARD),
+        gateway_count=table.integer("hosts", 1, MAX_VOLUME_GATEWAY_COUNT, 1),
+    )
+    table.reject_unknown_keys()
+    return volume
 
-def read_vrrp(table: Table) -> VrrpConfig | None:
-    enabled = table.flag("enabled")
-    if not enabled:
+
+def _read_volume_id(table: ConfigTable) -> int:
+    digits = table.text("volume")
+    try:
+        return int(digits, 16)
+    except ValueError as error:
+        raise table.error("volume", f"want hex digits, found {digits!r}") from error
+
+
+def _read_vrrp(table: ConfigTable) -> VrrpConfig | None:
+    if not table.boolean("enabled"):
         return None
-    peers, addresses = table.get("peers"), table.get("addresses")
-    for key, value in (("peers", peers), ("addresses", addresses)):
-        if not isinstance(value, list) or not value or not all(isinstance(one, str) for one in value):
-            raise table.fail(key, "want a list of texts")
-    vrrp = VrrpConfig(
+    peers = _read_required_texts(table, "peers")
+    addresses = _read_required_texts(table, "addresses")
+    config = VrrpConfig(
         listen=table.address("listen"),
         peers=[read_address(peer, f"{table.path}peers") for peer in peers],
-        router=table.whole("router", 1, 255),
-        priority=table.whole("priority", 1, 255, 100),
-        interval=table.whole("interval_cs", 1, 4095, 100) / 100,
-        preempt=table.flag("preempt", True),
+        router=table.integer("router", 1, MAX_ROUTER_ID),
+        priority=table.integer("priority", 1, MAX_PRIORITY, DEFAULT_PRIORITY),
+        interval=table.integer("interval_cs", 1, MAX_INTERVAL_CS, DEFAULT_INTERVAL_CS) / 100,
+        preempt=table.boolean("preempt", True),
         addresses=addresses,
     )
-    table.nothing_else()
-    return vrrp
+    table.reject_unknown_keys()
+    return config
+
+
+def _read_required_texts(table: ConfigTable, key: str) -> list[str]:
+    table.value(key)  # an error where the key is missing
+    texts = table.texts(key)
+    if not texts:
+        raise table.error(key, "want a list of texts")
+    return texts
--- a/storage_gateway/config/table.py
+++ b/storage_gateway/config/table.py
@@ -1,4 +1,4 @@
-"""Typed access to a table of the configuration, with key paths in its errors."""
+"""Typed access to a table of the configuration; each error names the full path of the faulty key."""
 
 from __future__ import annotations
 
@@ -6,97 +6,149 @@
 import re
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, TypeVar
 
 from storage_gateway.config.schema import Address
 from storage_gateway.errors import ConfigurationError
 
-MOST_NUMBER = 1e12  # figures of the settings are seconds, units, worths and rates
+MAX_NUMBER = 1e12  # exclusive; numbers of the configuration are seconds, units, weights and rates
+MAX_PORT = 65535
+
+Choice = TypeVar("Choice")
 
 
 @dataclass(slots=True)
-class Table:
-    """A table of the configuration, with the path that error messages give for its keys."""
+class ConfigTable:
+    """A table of the configuration.
+
+    Each method that reads a value raises ``ConfigurationError`` where the value is missing or of another form
+    than it wants. A null value counts as absent.
+
+    Attributes:
+        values: the table as it was decoded from JSON or TOML.
+        path: what stands before the table's keys in errors, with the separator.
+        used: keys that were read, for ``reject_unknown_keys``.
+    """
 
     values: Mapping[str, Any]
     path: str
     used: set[str] = field(default_factory=set)
 
-    def fail(self, key: str, why: str) -> ConfigurationError:
-        return ConfigurationError(f"{self.path}{key}", why)
+    def error(self, key: str, reason: str) -> ConfigurationError:
+        """Return the error for a key of this table."""
+        return ConfigurationError(f"{self.path}{key}", reason)
 
-    def get(self, key: str, default: Any = None) -> Any:
+    def value(self, key: str, default: Any = None) -> Any:
+        """Return the value of any type; absent it is the default, and an error where that is None."""
         self.used.add(key)
         value = self.values.get(key)
         if value is None and default is None:
-            raise self.fail(key, "missing")
+            raise self.error(key, "missing")
         return default if value is None else value
 
-    def number(self, key: str, default: float | None = None, above: float = -1e-300) -> float:
-        """A number of at least 0, or of more than ``above``; the default may be what else."""
-        value = self.get(key, default)
-        if value is not default and not (finite(value) and MOST_NUMBER > value > above):
-            want = "a number above 0" if above >= 0 else "a number from 0 up"
-            raise self.fail(key, f"want {want}, found {value!r}")
+    def number(self, key: str, default: float | None = None) -> float:
+        """Return a number of 0 or more; the default may lie outside that range."""
+        value = self.value(key, default)
+        if value is not default and not (is_finite_number(value) and 0 <= value < MAX_NUMBER):
+            raise self.error(key, f"want a number from 0 up, found {value!r}")
         return float(value)
 
-    def whole(self, key: str, least: int, most: int, default: int | None = None) -> int:
-        value = self.get(key, default)
-        if isinstance(value, bool) or not isinstance(value, int) or not least <= value <= most:
-            raise self.fail(key, f"want a whole number from {least} to {most}, found {value!r}")
+    def positive_number(self, key: str, default: float | None = None) -> float:
+        """Return a number above 0; the default may lie outside that range, as infinity does."""
+        value = self.value(key, default)
+        if value is not default and not (is_finite_number(value) and 0 < value < MAX_NUMBER):
+            raise self.error(key, f"want a number above 0, found {value!r}")
+        return float(value)
+
+    def optional_number(self, key: str) -> float | None:
+        """Return a number of 0 or more, or None where it is absent."""
+        if self.values.get(key) is None:
+            return None
+        return self.number(key)
+
+    def integer(self, key: str, minimum: int, maximum: int, default: int | None = None) -> int:
+        """Return an integer within the bounds, both included."""
+        value = self.value(key, default)
+        if isinstance(value, bool) or not isinstance(value, int) or not minimum <= value <= maximum:
+            raise self.error(key, f"want a whole number from {minimum} to {maximum}, found {value!r}")
         return value
 
     def text(self, key: str, default: str | None = None) -> str:
-        value = self.get(key, default)
+        """Return a string."""
+        value = self.value(key, default)
         if not isinstance(value, str):
-            raise self.fail(key, f"want a text, found {value!r}")
+            raise self.error(key, f"want a text, found {value!r}")
         return value
 
-    def flag(self, key: str, default: bool = False) -> bool:
-        value = self.get(key, default)
+    def boolean(self, key: str, default: bool = False) -> bool:
+        """Return true or false."""
+        value = self.value(key, default)
         if not isinstance(value, bool):
-            raise self.fail(key, f"want true or false, found {value!r}")
+            raise self.error(key, f"want true or false, found {value!r}")
         return value
 
-    def one_of(self, key: str, choices: Mapping[str, Any], default: str | None = None) -> Any:
-        value = self.text(key, default)
-        if value not in choices:
-            raise self.fail(key, f"want one of {', '.join(choices)}, found {value!r}")
-        return choices[value]
+    def choice(self, key: str, choices: Mapping[str, Choice], default: str | None = None) -> Choice:
+        """Return what the named choice stands for."""
+        name = self.text(key, default)
+        if name not in choices:
+            raise self.error(key, f"want one of {', '.join(choices)}, found {name!r}")
+        return choices[name]
 
     def address(self, key: str) -> Address:
+        """Return an address that is written ``HOST:PORT``."""
         return read_address(self.text(key), f"{self.path}{key}")
 
-    def table(self, key: str, default: Mapping[str, Any] | None = None) -> Table:
-        value = self.get(key, default)
+    def table(self, key: str, default: Mapping[str, Any] | None = None) -> ConfigTable:
+        """Return a table inside this one."""
+        value = self.value(key, default)
         if not isinstance(value, Mapping):
-            raise self.fail(key, "want a table")
-        return Table(value, f"{self.path}{key}.")
-
-    def each(self, key: str, kind: type, word: str) -> list[Any]:
-        value = self.get(key, [])
-        if not isinstance(value, list) or not all(isinstance(one, kind) for one in value):
-            raise self.fail(key, f"want a list of {word}")
-        return value
-
-    def tables(self, key: str) -> list[Table]:
-        value = self.get(key)
-        if not isinstance(value, list) or not value or not all(isinstance(one, Mapping) for one in value):
-            raise self.fail(key, "want a list of tables, one at least")
-        return [Table(one, f"{self.path}{key}[{place}].") for place, one in enumerate(value)]
-
-    def nothing_else(self) -> None:
+            raise self.error(key, "want a table")
+        return ConfigTable(value, f"{self.path}{key}.")
+
+    def tables(self, key: str) -> list[ConfigTable]:
+        """Return the tables of a list that holds one at least."""
+        values = self.value(key)
+        if not isinstance(values, list) or not values or not all(isinstance(one, Mapping) for one in values):
+            raise self.error(key, "want a list of tables, one at least")
+        return [ConfigTable(one, f"{self.path}{key}[{index}].") for index, one in enumerate(values)]
+
+    def texts(self, key: str) -> list[str]:
+        """Return a list of strings; it is empty where it is absent."""
+        return self._list_of(str, key, "texts")
+
+    def booleans(self, key: str) -> list[bool]:
+        """Return a list of true and false; it is empty where it is absent."""
+        return self._list_of(bool, key, "true and false")
+
+    def reject_unknown_keys(self) -> None:
+        """Raise an error where the table holds a key that was never read."""
         for key in self.values:
             if key not in self.used:
-                raise self.fail(key, "unknown key")
+                raise self.error(key, "unknown key")
 
+    def _list_of(self, item_type: type, key: str, item_words: str) -> list[Any]:
+        values = self.value(key, [])
+        if not isinstance(values, list) or not all(isinstance(one, item_type) for one in values):
+            raise self.error(key, f"want a list of {item_words}")
+        return values
 
-def finite(value: Any) -> bool:
+
+def is_finite_number(value: Any) -> bool:
+    """Tell whether a decoded value is a number, neither infinite nor NaN; true and false are none."""
     return isinstance(value, int | float) and not isinstance(value, bool) and abs(value) < math.inf
 
 
 def read_address(text: str, key: str) -> Address:
+    """Decode ``HOST:PORT``; an IPv6 address stands in brackets.
+
+    Args:
+        text: what to decode.
+        key: the full path of its key, for the error.
+
+    Raises:
+        ConfigurationError: the text is no address.
+    """
     host, colon, port = text.rpartition(":")
-    if not colon or not host or not re.fullmatch("[0-9]{1,5}", port) or int(port) > 65535:
+    if not colon or not host or not re.fullmatch("[0-9]{1,5}", port) or int(port) > MAX_PORT:
         raise ConfigurationError(key, f"want HOST:PORT, found {text!r}")
     return Address(host.strip("[]"), int(port))
--- a/storage_gateway/endpoints/codec.py
+++ b/storage_gateway/endpoints/codec.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from storage_gateway import policy_api as api
-from storage_gateway.config import finite, read_address
+from storage_gateway.config import is_finite_number, read_address
 from storage_gateway.endpoints.registry import Endpoint, EndpointUpdate
 from storage_gateway.errors import ConfigurationError, ProtocolError
 
@@ -47,7 +47,7 @@
         raise ProtocolError("lifecycle", f"unknown state {state!r}")
     if cell is not None and (isinstance(cell, bool) or not isinstance(cell, int)):
         raise ProtocolError("cell", f"want a whole number, found {cell!r}")
-    if not finite(started) or not 0 <= started <= LATEST_MS:
+    if not is_finite_number(started) or not 0 <= started <= LATEST_MS:
         raise ProtocolError("startedAtMs", f"want Unix time in milliseconds, found {started!r}")
     try:
         address = read_address(str(entry.get("hostPort")), "hostPort")
--- a/tests/config/test_reader.py
+++ b/tests/config/test_reader.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from storage_gateway.config import read_configuration, read_services
+from storage_gateway.config import ServicesConfig, read_configuration, read_services
 from storage_gateway.errors import ConfigurationError
 from tests.support.peers import SETTINGS
 from tests.support.project import ROOT
@@ -37,14 +37,14 @@
     def test_the_fronts_file_is_off_as_shipped_and_checked_when_on(self) -> None:
         shipped = ROOT / "deploy" / "fronts.toml"
         classes, plans = {"tile-read": 0, "record-write": 1}, {"public": 0}
-        assert read_services(shipped, classes, plans) == (None, None)
+        assert read_services(shipped, classes, plans) == ServicesConfig(sftp=None, vrrp=None)
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "fronts.toml"
             path.write_text(shipped.read_text().replace("enabled = false", "enabled = true"))
-            sftp, vrrp = read_services(path, classes, plans)
-            assert sftp
-            assert vrrp
-            assert (sftp.volumes[0].prefix, vrrp.interval) == ("/plats", 1.0)
+            services = read_services(path, classes, plans)
+            assert services.sftp
+            assert services.vrrp
+            assert (services.sftp.volumes[0].prefix, services.vrrp.interval) == ("/plats", 1.0)
             path.write_text(path.read_text().replace("unit_bytes", "unit_byte"))
             with pytest.raises(ConfigurationError, match=r"^fronts.toml: sftp.unit_byte: unknown key"):
                 read_services(path, classes, plans)
