--- a/tests/config/test_reader.py
+++ b/tests/config/test_reader.py
@@ -1,4 +1,4 @@
-"""Faults of the configuration are named."""
+"""The configuration file and the environment; each fault is named by its key."""
 
 from __future__ import annotations
 
@@ -10,41 +10,88 @@
 
 import pytest
 
-from storage_gateway.config import ServicesConfig, read_configuration, read_services
+from storage_gateway.config import Address, read_configuration
 from storage_gateway.errors import ConfigurationError
+from storage_gateway.policy.policy import Policy
+from tests.config.builders import ABSENT, CLASS, EXTRA, LIMITS, PLAN, Keys, make_file_values, read_changed
 from tests.support.peers import SETTINGS
-from tests.support.project import ROOT
 
 
-class ConfigCase(unittest.TestCase):
-    def test_faults_are_named(self) -> None:
-        good: dict[str, Any] = {"name": "n", "listen": "h:1", "discovery": "h:2", "settings": SETTINGS}
-        lanes = [{**SETTINGS["Lanes"][0], "Repeat": "tea"}]
+class ReadConfigurationTest(unittest.TestCase):
+    """Faults of the whole file."""
+
+    def test_error_starts_with_the_path_of_the_faulty_key(self) -> None:
+        classes = [{**SETTINGS["Lanes"][0], "Repeat": "tea"}]
         cases: list[tuple[dict[str, Any], str]] = [
             ({"seed": "xyz"}, "seed:"),
-            ({"settings": {**SETTINGS, "Lanes": lanes}}, "settings.Lanes[0].Repeat:"),
+            ({"settings": {**SETTINGS, "Lanes": classes}}, "settings.Lanes[0].Repeat:"),
             ({"settings": {**SETTINGS, "PolicyLimits": {}}}, "settings.PolicyLimits.SendCap: missing"),
             ({"limits": {"sockets": "many"}}, "limits.sockets:"),
         ]
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "config.json"
-            for change, said in cases:
-                path.write_text(json.dumps({**good, **change}))
+            for change, start in cases:
+                path.write_text(json.dumps({**make_file_values(), **change}))
                 with pytest.raises(ConfigurationError) as caught:
                     read_configuration({"RELAY_CONFIG": str(path)})
-                assert str(caught.value).startswith(said), caught.value
+                assert str(caught.value).startswith(start), caught.value
 
-    def test_the_fronts_file_is_off_as_shipped_and_checked_when_on(self) -> None:
-        shipped = ROOT / "deploy" / "fronts.toml"
-        classes, plans = {"tile-read": 0, "record-write": 1}, {"public": 0}
-        assert read_services(shipped, classes, plans) == ServicesConfig(sftp=None, vrrp=None)
-        with tempfile.TemporaryDirectory() as folder:
-            path = Path(folder) / "fronts.toml"
-            path.write_text(shipped.read_text().replace("enabled = false", "enabled = true"))
-            services = read_services(path, classes, plans)
-            assert services.sftp
-            assert services.vrrp
-            assert (services.sftp.volumes[0].prefix, services.vrrp.interval) == ("/plats", 1.0)
-            path.write_text(path.read_text().replace("unit_bytes", "unit_byte"))
-            with pytest.raises(ConfigurationError, match=r"^fronts.toml: sftp.unit_byte: unknown key"):
-                read_services(path, classes, plans)
+
+@pytest.mark.parametrize(
+    ("keys", "value", "faulty_key"),
+    [
+        ((*CLASS, "GiveUpS"), 0, "settings.Lanes[0].GiveUpS"),
+        (("settings", "Lanes", 1, "Name"), "tile-read", "settings.Lanes[1].Name"),
+        ((*PLAN, "Name"), 7, "settings.Contracts[0].Name"),
+        ((*EXTRA, "ChangesData"), [False], "settings.Extra.ChangesData"),
+        ((*EXTRA, "ChangesData"), "no", "settings.Extra.ChangesData"),
+        ((*EXTRA, "Shards"), -1, "settings.Extra.Shards"),
+        (("settings", "Areas"), [[]], "settings.Areas"),
+        ((*LIMITS, "DialTimeoutS"), -0.25, "settings.PolicyLimits.DialTimeoutS"),
+        ((*LIMITS, "IdleCloseS"), 0, "settings.PolicyLimits.IdleCloseS"),
+        (("limits", "sockets"), 3, "limits.sockets"),
+        (("listen",), "h:" + "9" * 5000, "listen"),
+        (("discovery",), "h:70000", "discovery"),
+        (("discovery",), ABSENT, "discovery"),
+        (("seed",), 255, "seed"),
+        (("settings",), [], "settings"),
+    ],
+)
+def test_invalid_value_is_named_by_its_key(tmp_path: Path, keys: Keys, value: Any, faulty_key: str) -> None:
+    with pytest.raises(ConfigurationError) as caught:
+        read_changed(tmp_path, keys, value)
+    assert str(caught.value).startswith(f"{faulty_key}: ")
+    assert "\n" not in str(caught.value)
+
+
+def test_file_that_is_nested_without_end_is_a_configuration_error(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text("[" * 200_000)
+    with pytest.raises(ConfigurationError, match=r"^RELAY_CONFIG: "):
+        read_configuration({"RELAY_CONFIG": str(path)})
+
+
+def test_classes_of_another_deployment_need_nothing_but_their_settings(tmp_path: Path) -> None:
+    classes = [
+        {"Name": "a", "AimS": 9.0, "GiveUpS": 20.0, "Repeat": "once", "Worth": 0.0},
+        {"Name": "b", "AimS": 0.01, "GiveUpS": 0.02, "Repeat": "by_key", "DedupScope": "cell", "Worth": 7.0},
+    ]
+    config = read_changed(tmp_path, ("settings", "Lanes"), classes)
+    assert (config.class_indexes, config.client_timeouts_s) == ({"a": 0, "b": 1}, [20.0, 0.02])
+    assert Policy(config.settings).step(0.0, []) == []
+
+
+def test_environment_wins_over_the_file(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(make_file_values()))
+    environment = {
+        "RELAY_CONFIG": str(path),
+        "RELAY_NAME": "other",
+        "RELAY_LISTEN": "[::1]:3",
+        "RELAY_DISCOVERY": "agent:4",
+    }
+    config = read_configuration(environment)
+    assert config.name == "other"
+    assert config.listen == Address("::1", 3)
+    assert config.discovery == Address("agent", 4)
+    assert config.configured_discovery == Address("h", 2)
