Cut the endpoint watch into backoff, message assembler, watch and discovery client

One module held the pauses between calls, the lines of a watch, one watch and the client that owns the watches. A pure move, in which imports follow.

--- a/tests/endpoints/test_discovery.py
+++ b/tests/endpoints/test_discovery.py
@@ -8,8 +8,8 @@
 
 from storage_gateway import policy_api as api
 from storage_gateway.config import Address
+from storage_gateway.endpoints.discovery import DiscoveryClient
 from storage_gateway.endpoints.registry import EndpointRegistry
-from storage_gateway.endpoints.watch import DiscoveryClient
 from storage_gateway.policy_api import EndpointState
 from tests.support.peers import FakeDiscovery
 from tests.support.process import discovery_entry
--- a/tests/endpoints/test_watch.py
+++ b/tests/endpoints/test_watch.py
@@ -10,19 +10,10 @@
 from storage_gateway import policy_api as api
 from storage_gateway.config import Address
 from storage_gateway.endpoints import watch as module
+from storage_gateway.endpoints.backoff import MOST_ALONE, MOST_MOVED, MOST_PAUSE, PAUSE, WINDOW, spread
+from storage_gateway.endpoints.discovery import DiscoveryClient
 from storage_gateway.endpoints.registry import EndpointRegistry
-from storage_gateway.endpoints.watch import (
-    CALL,
-    CALL_ALONE,
-    MOST_ALONE,
-    MOST_MOVED,
-    MOST_PAUSE,
-    PAUSE,
-    SILENCE,
-    WINDOW,
-    DiscoveryClient,
-    spread,
-)
+from storage_gateway.endpoints.watch import CALL, CALL_ALONE, SILENCE
 from tests.support.peers import FakeDiscovery, FakePeer, apply_endpoints, make_endpoint, make_response
 
 NOWHERE = Address("127.0.0.1", 1)
