Name the endpoint watch in standard terms; its tests stand with their modules

Names: watch, connected, publish, supersede, idle timeout, backoff with full jitter; constants carry their unit. EndpointWatch needs a WatchOwner, a protocol of what it uses of the client, so that watch and discovery do not import each other. Superseded watches were dropped while their tasks still ran; the client keeps them until they ended, and closed() awaits all of them after stop(). A test covers it.

--- a/storage_gateway/endpoints/codec.py
+++ b/storage_gateway/endpoints/codec.py
@@ -1,4 +1,4 @@
-"""Discovery's JSON form of endpoints, decoded once into typed values."""
+"""Discovery's JSON form of endpoints, decoded into typed values."""
 
 from __future__ import annotations
 
@@ -6,19 +6,25 @@
 from typing import Any
 
 from storage_gateway import policy_api as api
-from storage_gateway.config import is_finite_number, read_address
+from storage_gateway.config import Address, is_finite_number, read_address
 from storage_gateway.endpoints.registry import Endpoint, EndpointUpdate
 from storage_gateway.errors import ConfigurationError, ProtocolError
 
-LATEST_MS = 1e14  # Unix time of a start that discovery may name
-STATES = {
+MAX_START_TIME_MS = 1e14  # the latest Unix time that a start may have
+STATE_BY_LIFECYCLE = {
     "SERVING": api.EndpointState.SERVING,
     "DRAINING": api.EndpointState.DRAINING,
     "DELETED": api.EndpointState.REMOVED,
 }
+NO_SHARD = -1
 
 
 def decode_endpoint_update(text: str | bytes) -> EndpointUpdate:
+    """Decode a message of discovery.
+
+    Raises:
+        ProtocolError: the text is no JSON, or not that of an update.
+    """
     try:
         return read_endpoint_update(json.loads(text))
     except (ValueError, RecursionError) as error:
@@ -26,33 +32,68 @@
 
 
 def read_endpoint_update(value: Any) -> EndpointUpdate:
+    """Check an update whose JSON is decoded already.
+
+    Raises:
+        ProtocolError: a field is missing or its value cannot be used.
+    """
     if not isinstance(value, dict):
         raise ProtocolError("endpoint list", "want an object")
-    version, entries = value.get("generation"), value.get("instances")
+    version = value.get("generation")
+    entries = value.get("instances")
     if not isinstance(version, int) or isinstance(version, bool):
         raise ProtocolError("generation", f"want a whole number, found {version!r}")
     if not isinstance(entries, list):
         raise ProtocolError("instances", "want a list")
-    return EndpointUpdate(version, value.get("reset") is True, [read_endpoint(entry) for entry in entries])
+    endpoints = [_read_endpoint(entry) for entry in entries]
+    return EndpointUpdate(version, value.get("reset") is True, endpoints)
 
 
-def read_endpoint(entry: Any) -> Endpoint:
+def _read_endpoint(entry: Any) -> Endpoint:
     if not isinstance(entry, dict):
         raise ProtocolError("instances", "want objects")
-    name, state, cell = entry.get("instanceId"), entry.get("lifecycle"), entry.get("cell")
-    started = entry.get("startedAtMs") or 0
+    return Endpoint(
+        name=_read_name(entry),
+        state=_read_state(entry),
+        shard=_read_shard(entry),
+        started_at=_read_start_time_s(entry),
+        address=_read_address(entry),
+        zone=str(entry.get("zone")),
+    )
+
+
+def _read_name(entry: dict[str, Any]) -> str:
+    name = entry.get("instanceId")
     if not isinstance(name, str) or not name:
         raise ProtocolError("instanceId", f"want a text, found {name!r}")
-    if state not in STATES:
-        raise ProtocolError("lifecycle", f"unknown state {state!r}")
-    if cell is not None and (isinstance(cell, bool) or not isinstance(cell, int)):
-        raise ProtocolError("cell", f"want a whole number, found {cell!r}")
-    if not is_finite_number(started) or not 0 <= started <= LATEST_MS:
-        raise ProtocolError("startedAtMs", f"want Unix time in milliseconds, found {started!r}")
+    return name
+
+
+def _read_state(entry: dict[str, Any]) -> api.EndpointState:
+    lifecycle = entry.get("lifecycle")
+    if lifecycle not in STATE_BY_LIFECYCLE:
+        raise ProtocolError("lifecycle", f"unknown state {lifecycle!r}")
+    return STATE_BY_LIFECYCLE[lifecycle]
+
+
+def _read_shard(entry: dict[str, Any]) -> int:
+    shard = entry.get("cell")
+    if shard is None:
+        return NO_SHARD
+    if isinstance(shard, bool) or not isinstance(shard, int):
+        raise ProtocolError("cell", f"want a whole number, found {shard!r}")
+    return shard
+
+
+def _read_start_time_s(entry: dict[str, Any]) -> float:
+    started_ms = entry.get("startedAtMs") or 0
+    if not is_finite_number(started_ms) or not 0 <= started_ms <= MAX_START_TIME_MS:
+        raise ProtocolError("startedAtMs", f"want Unix time in milliseconds, found {started_ms!r}")
+    return float(started_ms / 1000)
+
+
+def _read_address(entry: dict[str, Any]) -> Address:
     try:
-        address = read_address(str(entry.get("hostPort")), "hostPort")
+        return read_address(str(entry.get("hostPort")), "hostPort")
     except ConfigurationError as error:
         raise ProtocolError(error.key, error.reason) from error
-    return Endpoint(
-        name, address, str(entry.get("zone")), -1 if cell is None else cell, STATES[state], started / 1000
-    )
--- a/storage_gateway/endpoints/watch.py
+++ b/storage_gateway/endpoints/watch.py
@@ -1,104 +1,168 @@
-"""The watch on discovery: the list, its changes line by line, and a new start where the watch breaks."""
+"""The endpoint watch: the endpoint list of one discovery address and the changes to it."""
 
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Protocol
 
 import aiohttp
 import structlog
 
 from storage_gateway import policy_api as api
 from storage_gateway.config import Address
-from storage_gateway.endpoints.backoff import MOST_MOVED
+from storage_gateway.endpoints.backoff import MAX_MOVE_BACKOFF_S, ReconnectBackoff
 from storage_gateway.endpoints.codec import decode_endpoint_update
-from storage_gateway.endpoints.message_assembler import MOST_LINE, WatchMessageAssembler
+from storage_gateway.endpoints.message_assembler import MAX_MESSAGE_BYTES, WatchMessageAssembler
 from storage_gateway.endpoints.registry import EndpointUpdate
 from storage_gateway.errors import ProtocolError
 
 if TYPE_CHECKING:
     from storage_gateway.endpoints.discovery import DiscoveryClient as DiscoveryClient
 
-
-SILENCE = 3.0  # seconds since the last whole line, where an empty one comes every two: the watch is dead
-CALL = 1.5  # seconds for the whole list, or for the first line of a watch, from one service for all
-CALL_ALONE = 1.0  # and from an agent of the front's own, which has what it has at once
+IDLE_TIMEOUT_S = 3.0  # since the last whole message; an empty one comes every 2 s on a watch that works
 log = structlog.get_logger()
 
 
-class Watch:
-    """The watch on one agent, kept up for ever. ``version`` is that agent's; None asks for the whole list."""
+class WatchOwner(Protocol):
+    """What a watch needs of the client that owns it.
+
+    Attributes:
+        backoff: draws the delay until the next call.
+        call_timeout_s: seconds for the whole list, or for the first message of a watch.
+        connected: set when the first message has come from any watch.
+    """
+
+    backoff: ReconnectBackoff
+    call_timeout_s: float
+    connected: asyncio.Event
+
+    def publish(self, update: EndpointUpdate, kind: api.EndpointUpdateKind | None = None) -> None:
+        """Apply an update to the registry and post it to the policy."""
+
+    def supersede_older_watches(self, watch: EndpointWatch) -> None:
+        """End the watches that were begun before this one."""
+
+    def is_moving_to(self, watch: EndpointWatch) -> bool:
+        """Tell whether an older watch goes on until this one has its list."""
+
+
+class EndpointWatch:
+    """The watch on one discovery address, which begins anew for ever until it is cancelled.
+
+    Attributes:
+        initial_delay_s: seconds until the first call.
+        failures: calls in a row that brought no message.
+    """
 
     def __init__(
-        self, owner: DiscoveryClient, address: Address, version: int | None, turn: float = 0.0
+        self, owner: WatchOwner, address: Address, version: int | None, initial_delay_s: float = 0.0
     ) -> None:
+        """Begin to watch.
+
+        Args:
+            owner: the client that publishes the updates, and that cancels and awaits the watch.
+            address: where discovery listens.
+            version: the version of the list at hand, as this address counts; None to fetch the whole list
+                first.
+            initial_delay_s: seconds until the first call.
+        """
         host = f"[{address.host}]" if ":" in address.host else address.host
-        self.url, self.version = f"http://{host}:{address.port}/discovery/hosts", version
-        self.turn, self.failures = turn, 0  # seconds until the first call; calls in a row without a line
-        self.owner, self.task = owner, asyncio.create_task(self.run())
-
-    async def run(self) -> None:
-        """Where a change may have been missed, the whole list comes first."""
-        await asyncio.sleep(self.turn)
-        timeout = aiohttp.ClientTimeout(total=None)  # each step has its own
+        self.initial_delay_s = initial_delay_s
+        self.failures = 0
+        self._owner = owner
+        self._url = f"http://{host}:{address.port}/discovery/hosts"
+        self._version = version
+        self._task = asyncio.create_task(self._run())
+
+    def cancel(self) -> None:
+        """End the watch; it publishes nothing from here on."""
+        self._task.cancel()
+
+    def is_closed(self) -> bool:
+        """Tell whether the watch has ended and its connection is closed."""
+        return self._task.done()
+
+    async def closed(self) -> None:
+        """Wait until a cancelled watch has ended and its connection is closed."""
+        await asyncio.wait([self._task])
+
+    async def _run(self) -> None:
+        await asyncio.sleep(self.initial_delay_s)
+        no_timeout = aiohttp.ClientTimeout(total=None)  # each step has its own
         async with aiohttp.ClientSession(
-            timeout=timeout, cookie_jar=aiohttp.DummyCookieJar(), read_bufsize=MOST_LINE
+            timeout=no_timeout, cookie_jar=aiohttp.DummyCookieJar(), read_bufsize=MAX_MESSAGE_BYTES
         ) as session:
             while True:
-                try:
-                    if self.version is None:
-                        await self.fetch(session)
-                    await self.watch(session)
-                    log.info("discovery_ended", address=self.url)
-                except ProtocolError as error:
-                    log.warning("discovery_line_skipped", why=str(error))
-                    self.version = None  # the line may have held a change: take the whole list
-                except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
-                    why = f"{type(error).__name__}: {error}"
-                    log.warning("discovery_lost", address=self.url, why=why, failures=self.failures)
-                except Exception:  # guards the watch: nothing else would ever call again
-                    log.exception("discovery_fault", address=self.url)
-                    self.version = None
-                pause = self.owner.pause(self.failures)
-                self.failures += 1
-                await asyncio.sleep(min(pause, MOST_MOVED) if self.moving() else pause)
-
-    def moving(self) -> bool:
-        return self is not self.owner.watches[0]
-
-    async def fetch(self, session: aiohttp.ClientSession) -> None:
-        limit = asyncio.timeout(self.owner.call)
-        async with limit, session.get(self.url, raise_for_status=True) as response:
-            listing = decode_endpoint_update(await response.read())
-        self.take(listing, api.EndpointUpdateKind.SNAPSHOT)
-        self.owner.settled(self)
-
-    async def watch(self, session: aiohttp.ClientSession) -> None:
-        """Silence counts from the last whole message: bytes that trickle in are none."""
-        params, gathered = {"watch": "1", "after": str(self.version)}, WatchMessageAssembler()
-        async with asyncio.timeout(self.owner.call) as silence:
-            async with session.get(self.url, params=params, raise_for_status=True) as response:
+                await self._fetch_and_follow(session)
+                await asyncio.sleep(self._next_delay_s())
+
+    async def _fetch_and_follow(self, session: aiohttp.ClientSession) -> None:
+        """Watch until the connection ends or fails.
+
+        Where a change may have been missed the version is dropped, so that the whole list comes first next
+        time.
+        """
+        try:
+            if self._version is None:
+                await self._fetch_list(session)
+            await self._follow_changes(session)
+            log.info("endpoint_watch_ended", address=self._url)
+        except ProtocolError as error:
+            log.warning("watch_message_skipped", reason=str(error))
+            self._version = None  # the message may have held a change
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+            reason = f"{type(error).__name__}: {error}"
+            log.warning("endpoint_watch_failed", address=self._url, reason=reason, failures=self.failures)
+        except Exception:  # a fault of our own must not end the task: nothing else would ever call again
+            log.exception("endpoint_watch_crashed", address=self._url)
+            self._version = None
+
+    def _next_delay_s(self) -> float:
+        delay_s = self._owner.backoff.delay_s(self.failures)
+        self.failures += 1
+        if self._owner.is_moving_to(self):
+            return min(delay_s, MAX_MOVE_BACKOFF_S)
+        return delay_s
+
+    async def _fetch_list(self, session: aiohttp.ClientSession) -> None:
+        async with (
+            asyncio.timeout(self._owner.call_timeout_s),
+            session.get(self._url, raise_for_status=True) as response,
+        ):
+            update = decode_endpoint_update(await response.read())
+        self._publish(update, api.EndpointUpdateKind.SNAPSHOT)
+        self._owner.supersede_older_watches(self)
+
+    async def _follow_changes(self, session: aiohttp.ClientSession) -> None:
+        """Publish change after change.
+
+        The idle timeout counts from the last whole message: bytes of one that never ends do not extend it.
+        """
+        parameters = {"watch": "1", "after": str(self._version)}
+        assembler = WatchMessageAssembler()
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(self._owner.call_timeout_s) as timeout:
+            async with session.get(self._url, params=parameters, raise_for_status=True) as response:
                 while line := await response.content.readline():
-                    message = gathered.add(line)
+                    message = assembler.add(line)
                     if message is None:
                         continue
-                    silence.reschedule(asyncio.get_running_loop().time() + SILENCE)
-                    self.hear(len(line))
+                    timeout.reschedule(loop.time() + IDLE_TIMEOUT_S)
+                    self._count_message(len(line))
                     if message:
-                        self.take(decode_endpoint_update(message))
-            if gathered.text:
-                raise ProtocolError("endpoint watch", "a message is cut")
+                        self._publish(decode_endpoint_update(message))
+            assembler.end()
 
-    def hear(self, size: int) -> None:
-        if self.failures or not self.owner.heard.is_set():
-            log.info("discovery_heard", address=self.url, failures=self.failures, bytes=size)
+    def _count_message(self, line_bytes: int) -> None:
+        if self.failures or not self._owner.connected.is_set():
+            log.info("endpoint_watch_connected", address=self._url, failures=self.failures, bytes=line_bytes)
         self.failures = 0
-        self.owner.heard.set()
+        self._owner.connected.set()
 
-    def take(self, listing: EndpointUpdate, kind: api.EndpointUpdateKind | None = None) -> None:
-        self.owner.take(listing, kind)
-        self.version = listing.version
-        self.owner.heard.set()
+    def _publish(self, update: EndpointUpdate, kind: api.EndpointUpdateKind | None = None) -> None:
+        self._owner.publish(update, kind)
+        self._version = update.version
+        self._owner.connected.set()
 
 
 def __getattr__(name: str) -> Any:
--- a/tests/endpoints/__init__.py
+++ b/tests/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the endpoint registry and the discovery client."""
--- a/tests/endpoints/test_discovery.py
+++ b/tests/endpoints/test_discovery.py
@@ -1,65 +1,140 @@
-"""The endpoint watch against a scripted discovery service."""
+"""The discovery client: one watch, or two while discovery moves."""
 
 from __future__ import annotations
 
 import asyncio
 import json
 import unittest
+from unittest import mock
 
 from storage_gateway import policy_api as api
 from storage_gateway.config import Address
+from storage_gateway.endpoints import watch as watch_module
 from storage_gateway.endpoints.discovery import DiscoveryClient
 from storage_gateway.endpoints.registry import EndpointRegistry
 from storage_gateway.policy_api import EndpointState
-from tests.support.peers import FakeDiscovery
+from tests.endpoints.scripted_discovery import (
+    ScriptedDiscovery,
+    make_chunk,
+    no_response,
+    snapshot,
+    wait_until,
+)
+from tests.support.peers import FakeDiscovery, apply_endpoints, make_endpoint
 from tests.support.process import discovery_entry
 
+NOWHERE = Address("127.0.0.1", 1)
 
-class DiscoveryStory(unittest.IsolatedAsyncioTestCase):
-    async def test_a_bad_line_is_skipped_and_the_whole_list_taken(self) -> None:
-        whole = {"generation": 7, "reset": True, "instances": [discovery_entry("SERVING")]}
+
+class DiscoveryClientTest(unittest.IsolatedAsyncioTestCase):
+    """The client against scripted discovery services."""
+
+    async def test_malformed_message_is_skipped_and_the_whole_list_applied(self) -> None:
+        full_list = {"generation": 7, "reset": True, "instances": [discovery_entry("SERVING")]}
         change = {"generation": 8, "reset": False, "instances": [discovery_entry("DRAINING")]}
-        agent = await FakeDiscovery(whole, [[b"", b"{tea"], [b"", json.dumps(change).encode()]]).start()
-        registry, told = EndpointRegistry({}), asyncio.Queue[api.Event]()
-        discovery = DiscoveryClient(Address("127.0.0.1", agent.port), registry, told.put_nowait)
-        discovery.start()
+        rounds = [[b"", b"{tea"], [b"", json.dumps(change).encode()]]
+        service = await FakeDiscovery(full_list, rounds).start()
+        registry = EndpointRegistry({})
+        events = asyncio.Queue[api.Event]()
+        client = DiscoveryClient(Address("127.0.0.1", service.port), registry, events.put_nowait)
+        client.start()
         async with asyncio.timeout(5):
-            news = [await told.get() for _ in range(3)]
-        discovery.stop()
-        agent.stop()
-        kinds = [(one.kind, one.entries[0].state) for one in news if isinstance(one, api.EndpointsChanged)]
+            posted = [await events.get() for _ in range(3)]
+        client.stop()
+        service.stop()
+        changes = [event for event in posted if isinstance(event, api.EndpointsChanged)]
         full = (api.EndpointUpdateKind.SNAPSHOT, EndpointState.SERVING)
-        assert kinds == [full, full, (api.EndpointUpdateKind.DELTA, EndpointState.DRAINING)]
-        assert len({one.entries[0].node for one in news if isinstance(one, api.EndpointsChanged)}) == 1
+        draining = (api.EndpointUpdateKind.DELTA, EndpointState.DRAINING)
+        assert [(event.kind, event.entries[0].state) for event in changes] == [full, full, draining]
+        assert len({event.entries[0].node for event in changes}) == 1
         assert not registry.is_serving(1)
 
-    async def test_a_move_takes_the_new_agent_s_whole_list_and_keeps_the_old_watch_until_then(self) -> None:
+    async def test_move_applies_the_new_whole_list_and_keeps_the_old_watch_until_then(self) -> None:
         old_list = {"generation": 70, "reset": True, "instances": [discovery_entry("SERVING")]}
         new_list = {"generation": 7, "reset": True, "instances": [discovery_entry("SERVING", 10)]}
-        later = {"generation": 71, "reset": False, "instances": [discovery_entry("DRAINING")]}
-        old, new = await FakeDiscovery(old_list, [[b""]]).start(), await FakeDiscovery(new_list, []).start()
-        registry, told = EndpointRegistry({}), asyncio.Queue[api.Event]()
-        discovery = DiscoveryClient(Address("127.0.0.1", old.port), registry, told.put_nowait)
-        silent = await asyncio.start_server(lambda reader, writer: asyncio.sleep(60), "127.0.0.1", 0)
-        discovery.start()
+        change = {"generation": 71, "reset": False, "instances": [discovery_entry("DRAINING")]}
+        old = await FakeDiscovery(old_list, [[b""]]).start()
+        new = await FakeDiscovery(new_list, []).start()
+        registry = EndpointRegistry({})
+        events = asyncio.Queue[api.Event]()
+        client = DiscoveryClient(Address("127.0.0.1", old.port), registry, events.put_nowait)
+        unresponsive = await asyncio.start_server(lambda reader, writer: asyncio.sleep(60), "127.0.0.1", 0)
+        client.start()
         async with asyncio.timeout(5):
-            await told.get()
-            while len(old.asked) < 2:  # the list, then the watch
-                await asyncio.sleep(0.005)
-            discovery.move(Address("127.0.0.1", silent.sockets[0].getsockname()[1]))
-            for writer in old.writers:  # the new one is silent: the old one still counts
-                line = json.dumps(later).encode()
-                writer.write(b"%x\r\n%s\n\r\n" % (len(line) + 1, line))
-            await told.get()
+            await events.get()
+            await wait_until(lambda: len(old.asked) >= 2)  # the list, then the watch
+            client.move(Address("127.0.0.1", unresponsive.sockets[0].getsockname()[1]))
+            for writer in old.writers:  # the new one does not respond: the old one still counts
+                writer.write(make_chunk(json.dumps(change).encode() + b"\n"))
+            await events.get()
             assert not registry.is_serving(1)
-            discovery.move(Address("127.0.0.1", new.port))
-            await told.get()
-            while old.open or len(new.asked) < 2:
-                await asyncio.sleep(0.005)
+            client.move(Address("127.0.0.1", new.port))
+            await events.get()
+            await wait_until(lambda: not old.open and len(new.asked) >= 2)
         assert registry.endpoints[1].address.port == 10
         assert new.asked == ["/discovery/hosts", "/discovery/hosts?watch=1&after=7"]
-        assert len(discovery.watches) == 1
-        discovery.stop()
-        for peer in (old, new):
-            peer.stop()
-        silent.close()
+        assert len(client.watches) == 1
+        client.stop()
+        for service in (old, new):
+            service.stop()
+        unresponsive.close()
+
+    async def test_single_instance_has_its_list_at_once(self) -> None:
+        service = await FakeDiscovery({"generation": 1, "reset": True, "instances": []}, [[b""]]).start()
+        events = asyncio.Queue[api.Event]()
+        client = DiscoveryClient(Address("127.0.0.1", service.port), EndpointRegistry({}), events.put_nowait)
+        client.start()
+        async with asyncio.timeout(5):
+            assert await events.get() == api.EndpointsChanged(api.EndpointUpdateKind.SNAPSHOT, [])
+        client.stop()
+        service.stop()
+
+    async def test_after_a_move_an_address_that_does_not_respond_at_first_is_called_again_soon(self) -> None:
+        service = await ScriptedDiscovery(no_response, snapshot, no_response).start()
+        self.addCleanup(service.stop)
+        events = asyncio.Queue[api.Event]()
+        client = DiscoveryClient(NOWHERE, EndpointRegistry({}), events.put_nowait, gateway_count=10**6)
+        client.call_timeout_s = 0.15
+        client.start()
+        client.move(Address("127.0.0.1", service.port))
+        self.addCleanup(client.stop)
+        self.enterContext(mock.patch.object(client.backoff, "delay_s", return_value=60.0))
+        self.enterContext(mock.patch.object(watch_module, "MAX_MOVE_BACKOFF_S", 0.0))
+        async with asyncio.timeout(5):
+            await events.get()
+
+    async def test_after_stop_all_watches_end_and_close_their_connections(self) -> None:
+        old = await ScriptedDiscovery(no_response).start()
+        new = await ScriptedDiscovery(snapshot, no_response).start()
+        self.addCleanup(old.stop)
+        self.addCleanup(new.stop)
+        events = asyncio.Queue[api.Event]()
+        client = DiscoveryClient(Address("127.0.0.1", old.port), EndpointRegistry({}), events.put_nowait)
+        client.start()
+        async with asyncio.timeout(5):
+            await old.targets.get()
+            superseded = client.watches[0]
+            client.move(Address("127.0.0.1", new.port))
+            await events.get()
+            client.stop()
+            await client.closed()
+        assert superseded.is_closed()
+        assert [watch.is_closed() for watch in client.watches] == [True]
+
+
+class InitialDelayTest(unittest.IsolatedAsyncioTestCase):
+    """The delay before the first call."""
+
+    async def read_initial_delay(self, gateway_count: int, has_list: bool) -> float:
+        registry = EndpointRegistry({})
+        if has_list:
+            apply_endpoints(registry, make_endpoint("s-1", 1))
+        client = DiscoveryClient(NOWHERE, registry, lambda event: None, gateway_count, seed=3)
+        client.start()
+        client.stop()
+        return client.watches[0].initial_delay_s
+
+    async def test_first_call_is_delayed_where_an_earlier_list_is_at_hand(self) -> None:
+        assert await self.read_initial_delay(40, has_list=True) > 0.0
+        assert await self.read_initial_delay(40, has_list=False) == 0.0
+        assert await self.read_initial_delay(1, has_list=True) == 0.0
