Move the log's set-up and its periodic line to storage_gateway.logging

RequestExecutor timed and wrote the status line, and the daemon's wiring configured structlog; both are one job of their own now. The line's event is status_reported, its field open is pending. The stored maximum of the loop's delay had one writer, the line itself, which reset it each time: it is a local value now (grep: no other use of .lag).

--- a/storage_gateway/lifecycle.py
+++ b/storage_gateway/lifecycle.py
@@ -16,13 +16,13 @@
 import structlog
 
 from storage_gateway import policy_api as api
+from storage_gateway.logging import StatusLog, StatusSource
 from storage_gateway.policy.policy import NEVER_RAN, Policy
 
 T = TypeVar("T")
 ATTEMPT_MARGIN_S = 0.04  # an attempt ends this long before the client's deadline, so that the answer beats it
 RESPONSE_MARGIN_S = 0.015  # and the core answers by itself where the policy still has not
 SOONEST = 0.005
-REPORT = 2.0  # seconds between the log's lines on what the host does
 log = structlog.get_logger()
 
 
@@ -91,22 +91,15 @@
         self.policy_timer: asyncio.TimerHandle | None = None
         self.numbered = 0
         self.response_deadline = math.inf  # a process that is to end answers nothing later
-        self.lag = 0.0  # the longest that a wake-up of the loop came late since the last report
-        self.status_sources: list[Callable[[], dict[str, object]]] = []  # what other parts add to a report
+        self.status_sources: list[StatusSource] = [self.status_fields, self.policy.status_fields]
 
     def start_status_log(self) -> None:
-        """From now on, a line in the log every few seconds: figures of the program, none of a request."""
-        self.loop.call_at(self.loop.time() + REPORT, self.report, self.loop.time() + REPORT)
-
-    def report(self, due: float) -> None:
-        self.lag = max(self.lag, self.loop.time() - due)
-        figures: dict[str, object] = {"open": len(self.pending), "lag_ms": round(1000 * self.lag, 1)}
-        for part in [self.policy.status_fields, *self.status_sources]:
-            figures.update(part())
-        log.info("status", cpu_s=round(time.process_time(), 2), **figures)
-        self.lag = 0.0
-        due = max(self.loop.time(), due + REPORT)
-        self.loop.call_at(due, self.report, due)
+        """Report the state of the process in the log from now on, every few seconds."""
+        StatusLog(self.loop, self.status_sources).start()
+
+    def status_fields(self) -> dict[str, object]:
+        """Return the number of requests that wait for their response, for the status log."""
+        return {"pending": len(self.pending)}
 
     def now(self) -> float:
         """Unix time, by the monotonic clock."""
--- a/storage_gateway/service.py
+++ b/storage_gateway/service.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import gc
-import logging
 import os
 import signal
 import sys
@@ -20,6 +19,7 @@
 from storage_gateway.http.node_client import NodeClient
 from storage_gateway.http.server import DRAIN, HttpServer
 from storage_gateway.lifecycle import RequestExecutor
+from storage_gateway.logging import configure_logging
 from storage_gateway.sftp.node_client import SftpNodeClient
 from storage_gateway.sftp.server import SftpServer
 from storage_gateway.vrrp.transport import VrrpTransport
@@ -31,20 +31,6 @@
 log = structlog.get_logger()
 
 
-def set_up_log() -> None:
-    structlog.configure(
-        processors=[
-            structlog.processors.add_log_level,
-            structlog.processors.TimeStamper(fmt="iso", utc=True),
-            structlog.processors.format_exc_info,
-            structlog.processors.KeyValueRenderer(key_order=["timestamp", "level", "event"]),
-        ],
-        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
-        cache_logger_on_first_use=True,
-    )
-
-
 def accepting_time(last: float, aims: list[float]) -> float:
     """Seconds for which a front that leaves goes on taking requests: while the quickest class can be served.
 
@@ -180,7 +166,7 @@
 
 def main() -> int:
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the loop handles it, it would end the process
-    set_up_log()
+    configure_logging()
     try:
         asyncio.run(run(read_configuration(os.environ)))
     except ConfigurationError as error:
--- a/tests/service/test_logging.py
+++ b/tests/service/test_logging.py
@@ -1,35 +1,38 @@
-"""The periodic line in the log: what the host did and why, with no line of a request."""
+"""The periodic line in the log: what the process did and why, with no line of a single request."""
 
 import asyncio
 import unittest
 from typing import Any
 from unittest import mock
 
-from storage_gateway import lifecycle as lifecycle_module
+from storage_gateway import logging as logging_module
 from storage_gateway.lifecycle import RequestExecutor
 from tests.support.policy import make_settings
 
 
-class Report(unittest.IsolatedAsyncioTestCase):
-    async def test_a_line_every_few_seconds_with_the_figures_of_all_parts(self) -> None:
+class StatusLogTest(unittest.IsolatedAsyncioTestCase):
+    """The line is repeated and holds the fields of every part."""
+
+    async def test_a_line_every_interval_with_the_fields_of_all_parts(self) -> None:
         lines: list[dict[str, Any]] = []
-        done = asyncio.Event()
+        two_lines_logged = asyncio.Event()
 
-        def info(event: str, **figures: Any) -> None:
-            lines.append({"event": event, **figures})
+        def record_line(event: str, **fields: Any) -> None:
+            lines.append({"event": event, **fields})
             if len(lines) == 2:
-                done.set()
+                two_lines_logged.set()
 
         with (
-            mock.patch.object(lifecycle_module, "REPORT", 0.01),
-            mock.patch.object(lifecycle_module.log, "info", info),
+            mock.patch.object(logging_module, "STATUS_INTERVAL_S", 0.01),
+            mock.patch.object(logging_module.log, "info", record_line),
         ):
             executor = RequestExecutor(make_settings())
             executor.status_sources.append(lambda: {"connections": 3})
             executor.start_status_log()
             async with asyncio.timeout(5):
-                await done.wait()
-        assert {line["event"] for line in lines} == {"status"}
+                await two_lines_logged.wait()
+
+        assert {line["event"] for line in lines} == {"status_reported"}
         assert [line["connections"] for line in lines[:2]] == [3, 3]
         assert lines[0]["lag_ms"] >= 0.0
-        assert lines[0]["open"] == 0
+        assert lines[0]["pending"] == 0
