Split the tests' shared peers from the builders of configurations and endpoints

tests/support/peers.py held scripted peers, a configuration and endpoint builders. Each has a file now; every name is still importable from tests.support.peers. The fake HTTP node's conversation is cut into reading a request and running the script, and a test can wait for a request by an event. Each test package says what it holds. FakeSftpNode is left as it was.

--- a/tests/__init__.py
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the storage gateway, in a folder for each part."""
--- a/tests/aiohttp_middleware/__init__.py
+++ b/tests/aiohttp_middleware/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the aiohttp.web middleware."""
--- a/tests/project/__init__.py
+++ b/tests/project/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the project's own files: style, sizes, deploy file, README."""
--- a/tests/simulator_adapter/__init__.py
+++ b/tests/simulator_adapter/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the simulator adapter."""
--- a/tests/support/__init__.py
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Builders, scripted peers and test cases that the tests share."""
--- /dev/null
+++ b/tests/support/endpoints.py
@@ -0,0 +1,41 @@
+"""Endpoints of storage nodes on loopback, in the registry's form and in that of the discovery service."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from storage_gateway import policy_api as api
+from storage_gateway.config import Address
+from storage_gateway.endpoints.registry import Endpoint, EndpointRegistry, EndpointUpdate
+
+
+def make_endpoint(
+    name: str, port: int, state: api.EndpointState = api.EndpointState.SERVING, shard: int = 0
+) -> Endpoint:
+    """Return the endpoint of a node on loopback."""
+    return Endpoint(name, Address("127.0.0.1", port), "basement", shard, state, 0.0)
+
+
+def apply_endpoints(
+    registry: EndpointRegistry, *endpoints: Endpoint, is_snapshot: bool = False
+) -> api.EndpointsChanged:
+    """Apply an update to the registry, and return the event that tells the policy of it."""
+    kind = api.EndpointUpdateKind.SNAPSHOT if is_snapshot else api.EndpointUpdateKind.DELTA
+    return api.EndpointsChanged(kind, registry.apply(EndpointUpdate(1, is_snapshot, list(endpoints))))
+
+
+def discovery_entry(state: str, port: int = 9) -> dict[str, Any]:
+    """Return the endpoint of a node on loopback as the discovery service lists it."""
+    return {
+        "instanceId": "s-a",
+        "hostPort": f"127.0.0.1:{port}",
+        "zone": "basement",
+        "cell": 0,
+        "lifecycle": state,
+        "startedAtMs": 0,
+    }
+
+
+def discovery_snapshot(*entries: dict[str, Any], generation: int = 1) -> dict[str, Any]:
+    """Return a whole endpoint list as the discovery service sends it."""
+    return {"generation": generation, "reset": True, "instances": list(entries)}
--- a/tests/support/peers.py
+++ b/tests/support/peers.py
@@ -1,4 +1,4 @@
-"""Scripted peers on loopback: boxes and discovery for the platform's front, boxes for file commands."""
+"""Scripted peers on loopback: storage nodes over HTTP and SFTP, and the discovery service."""
 
 from __future__ import annotations
 
@@ -6,85 +6,74 @@
 import json
 from collections import defaultdict
 from collections.abc import Awaitable, Callable
-from dataclasses import replace
-from typing import Any
+from typing import Any, Self
 
-from storage_gateway import policy_api as api
-from storage_gateway.config import Address, ConnectionBudget, GatewayConfig
-from storage_gateway.endpoints.registry import Endpoint, EndpointRegistry, EndpointUpdate
 from storage_gateway.sftp import packets as p
-from tests.support.policy import make_plan, make_request_class, make_settings
-
-SETTINGS: dict[str, Any] = {
-    "Areas": ["basement"],
-    "Contracts": [
-        {"Name": "public", "BaseRate": 8.0, "FloorRate": 4.0, "Proportion": 1.0, "WorthFactor": 1.0}
-    ],
-    "Lanes": [
-        {"Name": "tile-read", "AimS": 0.5, "GiveUpS": 1.5, "Repeat": "repeatable", "Worth": 3.0},
-        {"Name": "record-write", "AimS": 0.5, "GiveUpS": 1.5, "Repeat": "once", "Worth": 2.0},
-    ],
-    "PolicyLimits": {"Cancel": True, "SendCap": 4, "DialTimeoutS": 0.25, "IdleCloseS": 30.0},
-    "Siblings": 1,
-}
-
-
-def make_two_class_settings(**changes: Any) -> api.Settings:
-    once = make_request_class(repeatability=api.Repeatability.NON_IDEMPOTENT, priority_weight=2.0)
-    return make_settings(
-        [make_request_class(priority_weight=3.0), once], gateway_count=1, max_attempts=4, **changes
-    )
-
-
-def make_config(**changes: Any) -> GatewayConfig:
-    base = GatewayConfig(
-        name="n0",
-        listen=Address("127.0.0.1", 0),
-        discovery=Address("127.0.0.1", 1),
-        configured_discovery=Address("127.0.0.1", 1),
-        seed=1,
-        connection_budget=ConnectionBudget.of(1024, False),
-        known_endpoints={},
-        settings=make_two_class_settings(plans=[make_plan(expected_rate=80.0, reserved_rate=80.0)]),
-        class_indexes={"tile-read": 0, "record-write": 1},
-        plan_indexes={"public": 0},
-        client_timeouts_s=[1.5, 1.5],
-        class_is_write=[False, True],
-        shard_count=9,
-        zone_indexes={"basement": 0},
-        connect_timeout_s=0.25,
-        idle_close_s=30.0,
-    )
-    return replace(base, **changes)
-
-
-def make_endpoint(
-    name: str, port: int, state: api.EndpointState = api.EndpointState.SERVING, shard: int = 0
-) -> Endpoint:
-    return Endpoint(name, Address("127.0.0.1", port), "basement", shard, state, 0.0)
-
-
-def apply_endpoints(
-    registry: EndpointRegistry, *instances: Endpoint, is_snapshot: bool = False
-) -> api.EndpointsChanged:
-    kind = api.EndpointUpdateKind.SNAPSHOT if is_snapshot else api.EndpointUpdateKind.DELTA
-    return api.EndpointsChanged(kind, registry.apply(EndpointUpdate(1, is_snapshot, list(instances))))
+from tests.support.configuration import SETTINGS, make_config, make_two_class_settings
+from tests.support.endpoints import apply_endpoints, make_endpoint
+
+__all__ = [
+    "SETTINGS",
+    "FakeDiscovery",
+    "FakeHttpNode",
+    "FakePeer",
+    "FakeSftpNode",
+    "apply_endpoints",
+    "make_config",
+    "make_endpoint",
+    "make_response",
+    "make_two_class_settings",
+    "never_respond",
+    "respond_at_once",
+]
+
+REQUEST_TIMEOUT_S = 10.0  # for a request that a test waits for
+
+Script = Callable[[str], Awaitable[bytes | None]]
+"""Returns the whole response to the request with this trace id, or None to break the connection off."""
+
+
+def make_response(status: int = 200, body: bytes = b"tile", *headers: str) -> bytes:
+    """Return an HTTP response as it goes over the wire."""
+    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}", *headers, "", ""]
+    return "\r\n".join(lines).encode() + body
+
+
+async def respond_at_once(trace_id: str) -> bytes:
+    """Script of a node that serves every request."""
+    return make_response()
+
+
+async def never_respond(trace_id: str) -> bytes:
+    """Script of a node that reads requests and does no more."""
+    await asyncio.Event().wait()
+    raise AssertionError("nothing sets the event")
 
 
 class FakePeer:
-    """A listener whose connections are handled by the subclass; ``open`` counts those that stand."""
+    """A listener whose connections are served by the subclass.
+
+    Attributes:
+        port: the port that it listens on, once it is started.
+        open: connections that are open now.
+        accepted: connections that were opened at any time.
+    """
 
     def __init__(self) -> None:
-        self.port, self.open, self.accepted = 0, 0, 0
+        self.port = 0
+        self.open = 0
+        self.accepted = 0
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
 
-    async def start(self) -> Any:
+    async def start(self) -> Self:
+        """Listen on a free port, and return the peer itself."""
         self.server = await asyncio.start_server(self.connected, "127.0.0.1", 0)
         self.port = self.server.sockets[0].getsockname()[1]
         return self
 
     async def connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one connection to its end."""
         self.accepted += 1
         self.open += 1
         self.writers.add(writer)
@@ -98,61 +87,88 @@
             writer.transport.abort()
 
     async def converse(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Read what comes on a connection and respond to it; the connection ends when this returns."""
         raise NotImplementedError
 
     def stop(self) -> None:
+        """Stop listening, and abort the connections."""
         if self.server:
             self.server.close()
         for writer in self.writers:
             writer.transport.abort()
 
 
-Script = Callable[[str], Awaitable[bytes | None]]  # trace id -> a whole answer, or None to break off
-
-
 class FakeHttpNode(FakePeer):
-    """Counts each request that came whole, by its id, and answers as scripted."""
+    """A storage node that responds as scripted.
+
+    Attributes:
+        heads: the head of each request that came whole.
+        counts: how many requests came whole, by their trace id.
+    """
 
     def __init__(self, script: Script) -> None:
         super().__init__()
         self.script = script
         self.heads: list[str] = []
         self.counts: defaultdict[str, int] = defaultdict(int)
+        self._arrived: defaultdict[str, asyncio.Event] = defaultdict(asyncio.Event)
+
+    async def wait_for_request(self, trace_id: str) -> None:
+        """Return once a request with this trace id has come whole."""
+        async with asyncio.timeout(REQUEST_TIMEOUT_S):
+            await self._arrived[trace_id].wait()
 
     async def converse(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Respond to request after request, until the script or the client ends the connection."""
         while True:
-            head = (await reader.readuntil(b"\r\n\r\n")).decode()
-            fields = dict(line.split(": ", 1) for line in head.split("\r\n")[1:] if line)
-            await reader.readexactly(int(fields.get("Content-Length", 0)))
-            self.heads.append(head)
-            self.counts[fields["X-Trace-Id"]] += 1
-            answering = asyncio.ensure_future(self.script(fields["X-Trace-Id"]))
-            closing = asyncio.ensure_future(reader.read(1))
-            await asyncio.wait({answering, closing}, return_when=asyncio.FIRST_COMPLETED)
-            closing.cancel()
-            await asyncio.gather(closing, return_exceptions=True)
-            if not answering.done():
-                answering.cancel()
-                return
-            if (make_response := answering.result()) is None:
+            trace_id = await self._read_request(reader)
+            response = await self._run_script(trace_id, reader)
+            if response is None:
                 return
-            writer.write(make_response)
+            writer.write(response)
+
+    async def _read_request(self, reader: asyncio.StreamReader) -> str:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        fields = dict(line.split(": ", 1) for line in head.split("\r\n")[1:] if line)
+        await reader.readexactly(int(fields.get("Content-Length", 0)))
+        trace_id = fields["X-Trace-Id"]
+        self.heads.append(head)
+        self.counts[trace_id] += 1
+        self._arrived[trace_id].set()
+        return trace_id
+
+    async def _run_script(self, trace_id: str, reader: asyncio.StreamReader) -> bytes | None:
+        """Return the scripted response, or None where the client closes before it is there."""
+        responding = asyncio.ensure_future(self.script(trace_id))
+        closing = asyncio.ensure_future(reader.read(1))
+        await asyncio.wait({responding, closing}, return_when=asyncio.FIRST_COMPLETED)
+        closing.cancel()
+        await asyncio.gather(closing, return_exceptions=True)
+        if not responding.done():
+            responding.cancel()
+            return None
+        return responding.result()
 
 
-def make_response(status: int = 200, body: bytes = b"tile", *headers: str) -> bytes:
-    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}", *headers, "", ""]
-    return "\r\n".join(lines).encode() + body
+class FakeDiscovery(FakePeer):
+    """A discovery service.
 
+    Args:
+        whole: the endpoint list.
+        rounds: the lines that each watch gets, one list for a watch; a further one gets none.
 
-class FakeDiscovery(FakePeer):
-    """Serves ``whole`` as the list; each watch gets the next of the scripted rounds of lines."""
+    Attributes:
+        asked: the target of each request.
+    """
 
     def __init__(self, whole: dict[str, Any], rounds: list[list[bytes]]) -> None:
         super().__init__()
-        self.whole, self.rounds = whole, rounds
+        self.whole = whole
+        self.rounds = rounds
         self.asked: list[str] = []
 
     async def converse(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Respond with the list, or stream the lines of the next watch until the client closes."""
         while True:
             target = (await reader.readuntil(b"\r\n\r\n")).decode().split()[1]
             self.asked.append(target)
@@ -162,7 +178,7 @@
             writer.write(b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n")
             for line in self.rounds.pop(0) if self.rounds else []:
                 writer.write(b"%x\r\n%s\n\r\n" % (len(line) + 1, line))
-            await reader.read(1)  # until the front closes
+            await reader.read(1)  # until the client closes
             return
 
 
