Cut the daemon's run into a Gateway with start, reload and shut_down

One function of 73 lines built the parts, handled signals, judged readiness, logged and shut down. Gateway has a method for each; the SFTP service with VRRP is a module of its own, and so is the frame that turns a fault of the input into one line on standard error and exit status 2. Order of side effects, times and exit status are as before. Log events: gateway_ready, reload_applied, cached_endpoints_skipped, shutdown_started, shutdown_timed_out, gateway_stopped; field why is reason, callers discovery_clients, moved and next_start discovery_moved and deferred_keys.

--- a/storage_gateway/service.py
+++ b/storage_gateway/service.py
@@ -1,4 +1,4 @@
-"""The daemon: wiring, signals and the log."""
+"""One gateway instance: its parts are built, started, reloaded on SIGHUP and shut down on SIGTERM."""
 
 from __future__ import annotations
 
@@ -6,7 +6,6 @@
 import gc
 import os
 import signal
-import sys
 
 import structlog
 
@@ -20,156 +19,182 @@
 from storage_gateway.http.server import DRAIN, HttpServer
 from storage_gateway.lifecycle import RequestExecutor
 from storage_gateway.logging import configure_logging
-from storage_gateway.sftp.node_client import SftpNodeClient
-from storage_gateway.sftp.server import SftpServer
-from storage_gateway.vrrp.transport import VrrpTransport
-
-FIRST_LIST = 1.0  # seconds for discovery's first word, after which the old list has to do
-LEAST_ACCEPTING = 0.75  # seconds after SIGTERM in which everything is accepted at the least
-ANSWERS = 2.0  # times the shortest aim: what is kept for what is taken last
-EXIT = 0.15  # seconds kept for the exit itself
-log = structlog.get_logger()
-
+from storage_gateway.program import run_program
+from storage_gateway.sftp_service import SftpService
 
-def accepting_time(last: float, aims: list[float]) -> float:
-    """Seconds for which a front that leaves goes on taking requests: while the quickest class can be served.
+FIRST_UPDATE_TIMEOUT_S = 1.0  # for discovery's first update, after which the cached endpoints have to do
+MIN_ACCEPT_TIME_S = 0.75  # after SIGTERM every request is accepted for this long at the least
+RESERVED_LATENCY_OBJECTIVES = 2.0  # kept for the requests accepted last: times the shortest objective
+EXIT_TIME_S = 0.15  # kept for the exit of the process itself
 
-    Guards the clients of a front that is not back before it is ended: none else serves them meanwhile. What
-    comes of a slower class has its answer by ``last`` all the same.
-    """
-    return max(LEAST_ACCEPTING, last - ANSWERS * min(aims))
+log = structlog.get_logger()
 
 
-class FileService:
-    """The front for file commands, where it is on; with VRRP it is open while this instance is master."""
+def accept_time_s(response_time_s: float, latency_objectives_s: list[float]) -> float:
+    """Return for how long a gateway that shuts down accepts requests: while the quickest class can be served.
 
-    def __init__(self, front: SftpServer | None = None, carrier: VrrpTransport | None = None) -> None:
-        self.front, self.carrier = front, carrier
+    Guards the clients of an instance that is not back before it is ended: no other one serves them meanwhile.
+    A request of a slower class has its response within ``response_time_s`` all the same.
 
-    @classmethod
-    async def start(
-        cls, config: GatewayConfig, executor: RequestExecutor, registry: EndpointRegistry
-    ) -> FileService:
-        if config.sftp is None:
-            return cls()
-        sessions = config.connection_budget.sftp_sessions
-        boxes = SftpNodeClient(
-            registry, config.sftp.node_port, config.connect_timeout_s, config.idle_close_s, sessions
+    Args:
+        response_time_s: seconds from now within which the last response goes out.
+        latency_objectives_s: the latency objective of each class.
+    """
+    return max(MIN_ACCEPT_TIME_S, response_time_s - RESERVED_LATENCY_OBJECTIVES * min(latency_objectives_s))
+
+
+class Gateway:
+    """The parts of one gateway instance, wired together. It is built in a running event loop."""
+
+    def __init__(self, config: GatewayConfig) -> None:
+        settings = config.settings
+        self._config = config
+        self._loop = asyncio.get_running_loop()
+        self._executor = RequestExecutor(settings)
+        self._registry = EndpointRegistry(config.zone_indexes)
+        self._node_client = NodeClient(
+            self._registry,
+            config.connect_timeout_s,
+            config.idle_close_s,
+            config.connection_budget.node_connections,
         )
-        front = SftpServer(config.sftp, executor, boxes, sessions)
-        if config.vrrp is None:
-            await front.open()
-            return cls(front)
-
-        async def changed(master: bool) -> None:
-            await (
-                front.open() if master else front.close(config.sftp.command_timeout_s if config.sftp else 0.0)
-            )
-
-        carrier = VrrpTransport(config.vrrp, changed)
-        await carrier.start()
-        return cls(front, carrier)
-
-    async def close(self, patience: float) -> None:
-        if self.carrier:
-            await self.carrier.stop()
-        if self.front:
-            await self.front.close(patience)
-            self.front.boxes.close()
-
-
-async def run(config: GatewayConfig) -> None:
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    executor, registry = RequestExecutor(config.settings), EndpointRegistry(config.zone_indexes)
-    boxes = NodeClient(
-        registry, config.connect_timeout_s, config.idle_close_s, config.connection_budget.node_connections
-    )
-    callers = (
-        config.settings.gateway_count if config.settings.must_watch_endpoints else 1
-    )  # of one discovery, no agent of ours
-    discovery = DiscoveryClient(config.discovery, registry, executor.post, callers, config.seed)
-    if config.known_endpoints:
+        # How many instances call the same discovery service; 1: this one has an agent of its own.
+        self._discovery_clients = settings.gateway_count if settings.must_watch_endpoints else 1
+        self._discovery = DiscoveryClient(
+            config.discovery, self._registry, self._executor.post, self._discovery_clients, config.seed
+        )
+        self._publish_cached_endpoints()
+        self._start_time = self._loop.time()
+        self._http_server = HttpServer(config, self._executor, self._node_client, self.is_ready)
+        self._sftp_service: SftpService | None = None
+
+    def is_ready(self) -> bool:
+        """Return whether the endpoints are known: by discovery or, after a time without it, by the cache."""
+        if self._discovery_clients > 1 and self._registry.endpoints:
+            return True  # it waits for its turn to call discovery, and the cached endpoints do until then
+        if self._discovery.heard.is_set():
+            return True
+        return self._loop.time() - self._start_time > FIRST_UPDATE_TIMEOUT_S
+
+    async def start(self) -> None:
+        """Watch the endpoints, listen, and report in the log that this instance is ready.
+
+        Raises:
+            ConfigurationError: an address cannot be listened on.
+        """
+        self._discovery.start()
+        self._loop.add_signal_handler(signal.SIGHUP, self.reload)
         try:
-            discovery.take(read_endpoint_update(config.known_endpoints), api.EndpointUpdateKind.CACHED)
+            self._http_server.listen()
+            self._sftp_service = await SftpService.start(self._config, self._executor, self._registry)
+        except OSError as error:
+            raise ConfigurationError("listen", f"{error}") from error
+        self._executor.status_sources += [
+            self._node_client.status_fields,
+            self._discovery.status_fields,
+            self._http_server.status_fields,
+        ]
+        self._executor.start_status_log()
+        gc.collect()
+        gc.freeze()  # what the start made stays; later collections pass over it
+        self._log_ready()
+
+    def reload(self) -> None:
+        """Read the configuration again on SIGHUP; one with a fault changes nothing."""
+        try:
+            discovery_moved, deferred_keys = self._config.reload(read_configuration(os.environ))
+        except ConfigurationError as error:
+            log.error("reload_failed", reason=str(error))
+            return
+        log.info(
+            "reload_applied",
+            discovery=self._config.discovery,
+            discovery_moved=discovery_moved,
+            deferred_keys=deferred_keys,
+        )
+        if discovery_moved:
+            self._discovery.move(self._config.discovery)
+
+    async def shut_down(self) -> None:
+        """Shut down gracefully: each request has its response before the termination grace period ends.
+
+        Requests are accepted for a while yet, as their clients have no other instance to go to; then the
+        listeners and the idle connections close.
+        """
+        log.info("shutdown_started", pending=len(self._executor.pending))
+        response_time_s = self._config.notice() - EXIT_TIME_S
+        self._executor.begin_shutdown(response_time_s - DRAIN)
+        try:
+            async with asyncio.timeout(response_time_s):
+                await asyncio.gather(
+                    self._close_http_server(response_time_s), self._close_sftp_service(response_time_s)
+                )
+        except TimeoutError:
+            log.warning("shutdown_timed_out", pending=len(self._executor.pending))
+        self._discovery.stop()
+        self._node_client.close()
+        log.info("gateway_stopped")
+
+    def _publish_cached_endpoints(self) -> None:
+        if not self._config.known_endpoints:
+            return
+        try:
+            update = read_endpoint_update(self._config.known_endpoints)
+            self._discovery.take(update, api.EndpointUpdateKind.CACHED)
         except ProtocolError as error:
-            log.warning("known_list_skipped", why=str(error))
-    began = loop.time()
+            log.warning("cached_endpoints_skipped", reason=str(error))
+
+    def _log_ready(self) -> None:
+        settings = self._config.settings
+        log.info(
+            "gateway_ready",
+            name=self._config.name,
+            listen=self._http_server.address,
+            nodes=len(self._registry.endpoints),
+            discovery_clients=self._discovery_clients,
+            gateway_count=settings.gateway_count,
+            latency_objectives_s=self._latency_objectives_s(),
+            safety=settings.safety,
+            slow_start_units=settings.slow_start_units,
+            excess_rate=self._executor.policy.spare,
+            max_retry_after_s=settings.max_retry_after_s,
+        )
 
-    def ready() -> bool:
-        """The list is known: by discovery's word or, where that comes in turn, by the old copy."""
-        turn = callers > 1 and bool(registry.endpoints)
-        return turn or discovery.heard.is_set() or loop.time() - began > FIRST_LIST
+    def _latency_objectives_s(self) -> list[float]:
+        return [request_class.latency_objective_s for request_class in self._config.settings.classes]
 
-    front = HttpServer(config, executor, boxes, ready)
-    discovery.start()
+    async def _close_http_server(self, response_time_s: float) -> None:
+        await asyncio.sleep(accept_time_s(response_time_s, self._latency_objectives_s()))
+        await self._http_server.close()
+
+    async def _close_sftp_service(self, response_time_s: float) -> None:
+        await asyncio.sleep(MIN_ACCEPT_TIME_S)
+        if self._sftp_service is not None:
+            await self._sftp_service.close(response_time_s - MIN_ACCEPT_TIME_S)
 
-    def reload() -> None:
-        """SIGHUP: the file is read again, and kept out as a whole where it has a fault."""
-        try:
-            moved, waiting = config.reload(read_configuration(os.environ))
-        except ConfigurationError as error:
-            log.error("reload_failed", why=str(error))
-            return
-        log.info("reloaded", discovery=config.discovery, moved=moved, next_start=waiting)
-        if moved:
-            discovery.move(config.discovery)
-
-    loop.add_signal_handler(signal.SIGHUP, reload)
-    try:
-        front.listen()
-        files = await FileService.start(config, executor, registry)
-    except OSError as error:
-        raise ConfigurationError("listen", f"{error}") from error
-    executor.status_sources += [boxes.status_fields, discovery.status_fields, front.status_fields]
-    executor.start_status_log()
-    gc.collect()
-    gc.freeze()  # what the start made stays; later collections pass over it
-    log.info(
-        "ready",
-        name=config.name,
-        listen=front.address,
-        nodes=len(registry.endpoints),
-        callers=callers,
-        gateway_count=config.settings.gateway_count,
-        latency_objectives_s=[kind.latency_objective_s for kind in config.settings.classes],
-        safety=config.settings.safety,
-        slow_start_units=config.settings.slow_start_units,
-        spare=executor.policy.spare,
-        max_retry_after_s=config.settings.max_retry_after_s,
-    )
-    await stop.wait()
-    log.info("leaving", open=len(executor.pending))
-    last = config.notice() - EXIT
-    executor.begin_shutdown(last - DRAIN)
-    accepting = accepting_time(last, [kind.latency_objective_s for kind in config.settings.classes])
-
-    async def close_files() -> None:
-        await asyncio.sleep(LEAST_ACCEPTING)
-        await files.close(last - LEAST_ACCEPTING)
-
-    async def close_front() -> None:
-        await asyncio.sleep(accepting)
-        await front.close()
-
-    try:
-        async with asyncio.timeout(last):
-            await asyncio.gather(close_front(), close_files())
-    except TimeoutError:
-        log.warning("left_unanswered", open=len(executor.pending))
-    discovery.stop()
-    boxes.close()
-    log.info("left")
+
+async def run_gateway(config: GatewayConfig) -> None:
+    """Run one gateway instance until SIGTERM or SIGINT, and shut it down gracefully.
+
+    Raises:
+        ConfigurationError: an address cannot be listened on.
+    """
+    stop_requested = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signal_number, stop_requested.set)
+    gateway = Gateway(config)
+    await gateway.start()
+    await stop_requested.wait()
+    await gateway.shut_down()
 
 
 def main() -> int:
+    """Run the gateway that the environment configures, and return the exit status of the process."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the loop handles it, it would end the process
     configure_logging()
-    try:
-        asyncio.run(run(read_configuration(os.environ)))
-    except ConfigurationError as error:
-        print(f"storage_gateway: {error}", file=sys.stderr)
-        return 2
-    return 0
+    return run_program("storage_gateway", _run_from_environment, ConfigurationError)
+
+
+def _run_from_environment() -> None:
+    asyncio.run(run_gateway(read_configuration(os.environ)))
--- /dev/null
+++ b/tests/service/test_shutdown.py
@@ -0,0 +1,72 @@
+"""The whole process on SIGTERM: every request has its response before the process ends."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+
+from tests.support.configuration import SETTINGS
+from tests.support.endpoints import discovery_entry, discovery_snapshot
+from tests.support.http import TARGET
+from tests.support.peers import make_response, never_respond
+from tests.support.process import GatewayProcessCase
+
+
+class GracefulShutdownTest(GatewayProcessCase):
+    """SIGTERM starts a graceful shutdown."""
+
+    async def test_a_request_accepted_before_has_a_response_though_its_client_waits_longer(self) -> None:
+        node = await self.start_node(never_respond)
+        slow_classes = [{**lane, "GiveUpS": 30.0, "AimS": 9.0} for lane in SETTINGS["Lanes"]]
+        await self.start_gateway(
+            settings={**SETTINGS, "Lanes": slow_classes},
+            known=discovery_snapshot(discovery_entry("SERVING", node.port)),
+        )
+        requesting = asyncio.create_task(
+            self.get_status(TARGET, **{"X-Trace-Id": "t", "X-Expires-In-Ms": "30000"})
+        )
+        await node.wait_for_request("t")
+
+        self.process.send_signal(signal.SIGTERM)
+
+        async with asyncio.timeout(10):  # the response comes before the end, which is due after 3.7 s
+            assert await requesting in (502, 503)
+            assert await self.process.wait() == 0
+
+    async def test_requests_accepted_before_and_requests_that_still_come_have_a_response(self) -> None:
+        release = asyncio.Event()
+
+        async def script(trace_id: str) -> bytes:
+            if trace_id == "before":
+                await release.wait()
+            if trace_id == "unanswered":
+                await asyncio.sleep(60)
+            return make_response()
+
+        node = await self.start_node(script)
+        known = discovery_snapshot(discovery_entry("SERVING", node.port))
+        discovery = await self.start_discovery(known)
+        await self.start_gateway(known=known, discovery=f"127.0.0.1:{discovery.port}")
+        before = asyncio.create_task(self.get_status(TARGET, **{"X-Trace-Id": "before"}))
+        await node.wait_for_request("before")
+
+        self.process.send_signal(signal.SIGTERM)
+        await self.read_log_until(b"event='shutdown_started'")
+
+        loop = asyncio.get_running_loop()
+        shutdown_started_at = loop.time()
+        after = await self.get_response(TARGET, **{"X-Trace-Id": "after"})
+        assert (after.status, after.headers.get("Connection")) == (200, None)  # on a connection that is kept
+        release.set()
+        assert await before == 200
+        while loop.time() < shutdown_started_at + 0.9:
+            trace_id = str(node.accepted + len(node.heads))
+            assert await self.get_status(TARGET, **{"X-Trace-Id": trace_id}) == 200
+            await asyncio.sleep(0.1)
+        # Its time ends after the process must; idle connections are closed by then.
+        assert await self.get_status(TARGET, **{"X-Trace-Id": "unanswered"}) in (502, 503)
+        assert loop.time() < shutdown_started_at + 2.2
+        assert self.process.stderr
+        async with asyncio.timeout(5):
+            log_rest = await self.process.stderr.read()
+            assert await self.process.wait() == 0, log_rest
--- /dev/null
+++ b/tests/service/test_start.py
@@ -0,0 +1,72 @@
+"""The start of the whole process: a bad configuration, readiness, and the budget of descriptors."""
+
+from __future__ import annotations
+
+import asyncio
+import resource
+import signal
+
+from tests.support.endpoints import discovery_entry, discovery_snapshot
+from tests.support.http import TARGET
+from tests.support.peers import FakeDiscovery, respond_at_once
+from tests.support.process import GatewayProcessCase
+
+MIN_SOCKETS = 112  # the least that the configuration may allow
+
+
+class BadConfigurationTest(GatewayProcessCase):
+    """A configuration that cannot be used ends the process."""
+
+    async def test_bad_configuration_ends_with_one_line_that_names_the_key(self) -> None:
+        await self.start_process(listen="nowhere")
+
+        _, errors = await self.process.communicate()
+
+        assert (self.process.returncode, errors.count(b"\n")) == (2, 1)
+        assert errors.startswith(b"storage_gateway: listen: "), errors
+
+
+class ReadinessTest(GatewayProcessCase):
+    """What ``/up`` says of a gateway that has just started."""
+
+    async def test_gateway_is_ready_soon_though_discovery_never_responds(self) -> None:
+        discovery = await asyncio.start_server(lambda reader, writer: asyncio.sleep(60), "127.0.0.1", 0)
+        self.addCleanup(discovery.close)
+
+        await self.start_gateway(discovery=f"127.0.0.1:{discovery.sockets[0].getsockname()[1]}")
+
+        async with asyncio.timeout(10):
+            status = 0
+            while status != 200:
+                await asyncio.sleep(0.02)
+                status = await self.get_status("/up")
+
+
+class ConnectionBudgetTest(GatewayProcessCase):
+    """The descriptors of the process are shared out, so that clients cannot use them all."""
+
+    async def test_idle_clients_that_use_all_descriptors_block_neither_discovery_nor_nodes(self) -> None:
+        node = await self.start_node(respond_at_once)
+        refusing = await asyncio.start_server(lambda reader, writer: writer.close(), "127.0.0.1", 0)
+        discovery_port = refusing.sockets[0].getsockname()[1]
+        await self.start_gateway(discovery=f"127.0.0.1:{discovery_port}", limits={"sockets": MIN_SOCKETS})
+        resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, (MIN_SOCKETS, MIN_SOCKETS))
+        idle_clients = await asyncio.gather(
+            *[asyncio.open_connection("127.0.0.1", self.port) for _ in range(2 * MIN_SOCKETS)]
+        )
+        assert await self.get_status(TARGET, **{"X-Trace-Id": "early"}) != 200  # no endpoint is known yet
+
+        refusing.close()
+        discovery = FakeDiscovery(discovery_snapshot(discovery_entry("SERVING", node.port)), [])
+        discovery.server = await asyncio.start_server(discovery.connected, "127.0.0.1", discovery_port)
+        self.addCleanup(discovery.stop)
+
+        await self.wait_until_served("t")
+        assert self.process.returncode is None
+        self.process.send_signal(signal.SIGTERM)
+        for _, writer in idle_clients:
+            writer.close()
+        _, log_rest = await asyncio.wait_for(self.process.communicate(), 10)
+        assert self.process.returncode == 0
+        assert b"Traceback" not in log_rest
+        assert log_rest.count(b"\n") < 1000, "a log that runs on is a loop that does"
--- a/tests/support/process.py
+++ b/tests/support/process.py
@@ -5,37 +5,114 @@
 import asyncio
 import json
 import os
+import re
 import sys
+import tempfile
 import unittest
 from pathlib import Path
 from typing import Any
 
-from tests.support.peers import SETTINGS
+import aiohttp
+
+from tests.support.configuration import SETTINGS
+from tests.support.endpoints import discovery_entry
+from tests.support.http import HEADERS, TARGET
+from tests.support.peers import FakeDiscovery, FakeHttpNode, Script
 from tests.support.project import ROOT
 
+__all__ = ["GatewayProcessCase", "discovery_entry"]
 
-def discovery_entry(state: str, port: int = 9) -> dict[str, Any]:
-    return {"instanceId": "s-a", "hostPort": f"127.0.0.1:{port}", "zone": "basement", "cell": 0,
-            "lifecycle": state, "startedAtMs": 0}  # fmt: skip
+LOG_TIMEOUT_S = 10.0
 
 
 class GatewayProcessCase(unittest.IsolatedAsyncioTestCase):
-    async def start(
-        self, folder: str, variables: dict[str, str] | None = None, **changes: Any
-    ) -> asyncio.subprocess.Process:
-        path = Path(folder) / "config.json"
-        values = {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "ff",
-                  "settings": SETTINGS, **changes}  # fmt: skip
-        path.write_text(json.dumps(values))
-        kept = {name: value for name, value in os.environ.items() if not name.startswith("RELAY_")}
-        return await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "storage_gateway", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
-            env={**kept, **(variables or {}), "RELAY_CONFIG": str(path)},
-        )  # fmt: skip
-
-    async def line(self, daemon: asyncio.subprocess.Process, word: bytes) -> bytes:
-        assert daemon.stderr
-        async with asyncio.timeout(10):
-            while word not in (line := await daemon.stderr.readline()):
-                assert line, "the daemon ended"
+    """A test of one gateway process, which is ended with the test.
+
+    Attributes:
+        process: the gateway.
+        config_path: its configuration file.
+        port: the port that it listens on for clients.
+        client: a session of a client.
+    """
+
+    process: asyncio.subprocess.Process
+    config_path: Path
+    port: int
+    client: aiohttp.ClientSession
+
+    async def start_process(self, variables: dict[str, str] | None = None, **changes: Any) -> None:
+        """Start a gateway; ``variables`` is added to its environment, ``changes`` to its configuration."""
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        self.config_path = Path(folder) / "config.json"
+        values = {
+            "name": "n0",
+            "listen": "127.0.0.1:0",
+            "discovery": "127.0.0.1:1",
+            "seed": "ff",
+            "settings": SETTINGS,
+            **changes,
+        }
+        self.config_path.write_text(json.dumps(values))
+        inherited = {name: value for name, value in os.environ.items() if not name.startswith("RELAY_")}
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "storage_gateway",
+            cwd=ROOT,
+            stderr=asyncio.subprocess.PIPE,
+            env={**inherited, **(variables or {}), "RELAY_CONFIG": str(self.config_path)},
+        )
+        self.addAsyncCleanup(self._end_process)
+
+    async def start_gateway(self, variables: dict[str, str] | None = None, **changes: Any) -> None:
+        """Start a gateway, wait until it is ready, and make a client for it."""
+        await self.start_process(variables, **changes)
+        ready_line = await self.read_log_until(b"event='gateway_ready'")
+        (port,) = re.findall(rb"port=(\d+)\)", ready_line)
+        self.port = int(port)
+        self.client = aiohttp.ClientSession()
+        self.addAsyncCleanup(self.client.close)
+
+    async def start_node(self, script: Script) -> FakeHttpNode:
+        """Start a storage node that is stopped with the test."""
+        node = await FakeHttpNode(script).start()
+        self.addCleanup(node.stop)
+        return node
+
+    async def start_discovery(self, whole: dict[str, Any]) -> FakeDiscovery:
+        """Start a discovery service with this endpoint list, which is stopped with the test."""
+        discovery = await FakeDiscovery(whole, []).start()
+        self.addCleanup(discovery.stop)
+        return discovery
+
+    async def read_log_until(self, text: bytes) -> bytes:
+        """Return the next line of the gateway's log that holds this text."""
+        assert self.process.stderr
+        async with asyncio.timeout(LOG_TIMEOUT_S):
+            while text not in (line := await self.process.stderr.readline()):
+                assert line, "the gateway ended"
         return line
+
+    async def get_response(self, target: str, **headers: str) -> aiohttp.ClientResponse:
+        """Send a request, and return the response once it was read."""
+        url = f"http://127.0.0.1:{self.port}{target}"
+        async with self.client.get(url, headers={**HEADERS, **headers}) as response:
+            await response.read()
+            return response
+
+    async def get_status(self, target: str, **headers: str) -> int:
+        """Send a request, and return the status of its response."""
+        return (await self.get_response(target, **headers)).status
+
+    async def wait_until_served(self, trace_id: str) -> None:
+        """Send a request until it is served, under a new id each time."""
+        tries = 0
+        async with asyncio.timeout(20):
+            while await self.get_status(TARGET, **{"X-Trace-Id": f"{trace_id}{tries}"}) != 200:
+                tries += 1
+                await asyncio.sleep(0.05)
+
+    async def _end_process(self) -> None:
+        if self.process.returncode is None:
+            self.process.kill()
+        await self.process.communicate()
