--- a/tests/simulator_adapter/test_simulator_adapter.py
+++ b/tests/simulator_adapter/test_simulator_adapter.py
@@ -1,4 +1,4 @@
-"""The adapter: framing, bad input, faults, and lives of instances."""
+"""The simulator adapter: framing, bad input, faults, and the lives of instances."""
 
 from __future__ import annotations
 
@@ -6,11 +6,15 @@
 import json
 import subprocess
 import sys
+import unittest
 from typing import Any
+from unittest import mock
 
 import pytest
 
-from storage_gateway import simulator_adapter as simhost
+from storage_gateway import simulator_adapter
+from storage_gateway.policy.policy import Policy
+from storage_gateway.simulator_adapter import SimulatorAdapter
 from tests.support.project import ROOT
 
 SETTINGS: dict[str, Any] = {
@@ -49,22 +53,22 @@
     "Siblings": 2,
     "Unheard": {"of": 1},
 }
-SHELF = {"Pack": 0, "UpSinceS": None, "Shelf": 11, "Area": 0, "StageState": "live", "Scale": 1}
+ENDPOINT = {"Pack": 0, "UpSinceS": None, "Shelf": 11, "Area": 0, "StageState": "live", "Scale": 1}
 
 
-def born(head: int = 0) -> list[dict[str, Any]]:
+def make_start_events(instance: int = 0) -> list[dict[str, Any]]:
     return [
-        {"type": "CATALOG", "Slot": 0, "Elements": [SHELF]},
-        {"type": "BORN", "Head": head, "RngSeed": 1, "Facts": SETTINGS},
-        {"type": "ROSTER_CHANGE", "Head": head, "Slot": 0, "Revision": 1, "Mode": "warm_copy"},
+        {"type": "CATALOG", "Slot": 0, "Elements": [ENDPOINT]},
+        {"type": "BORN", "Head": instance, "RngSeed": 1, "Facts": SETTINGS},
+        {"type": "ROSTER_CHANGE", "Head": instance, "Slot": 0, "Revision": 1, "Mode": "warm_copy"},
     ]
 
 
-def request(name: str, head: int = 0) -> dict[str, Any]:
+def make_request_event(request_id: str, instance: int = 0) -> dict[str, Any]:
     return {
         "type": "REQ",
-        "Head": head,
-        "Req": name,
+        "Head": instance,
+        "Req": request_id,
         "Contract": 0,
         "Profile": 0,
         "Item": 1,
@@ -77,68 +81,98 @@
     }
 
 
-def batch(number: int, news: list[dict[str, Any]], now: float = 5.0) -> str:
-    return json.dumps({"TsS": now, "round": number, "news": news})
+def make_batch(round_number: int, events: list[dict[str, Any]], now: float = 5.0) -> str:
+    return json.dumps({"TsS": now, "round": round_number, "news": events})
 
 
-def steps(gateway: simhost.Gateway, news: list[dict[str, Any]]) -> list[dict[str, Any]]:
-    reply = gateway.reply(batch(1, news))
+def get_steps(adapter: SimulatorAdapter, events: list[dict[str, Any]]) -> list[dict[str, Any]]:
+    """Return the adapter's steps on a batch, without the timers that a policy sets."""
+    reply = adapter.reply(make_batch(1, events))
     return [step for step in reply["steps"] if step["type"] != "TIMER"]
 
 
-def test_request_is_routed_with_unknown_keys_passed_over() -> None:
-    gateway = simhost.Gateway()
-    got = steps(gateway, [*born(), request("a")])
-    assert got == [{"type": "ROUTE", "Head": 0, "Req": "a", "Shelf": 11}]
+class SimulatorAdapterTest(unittest.TestCase):
+    """Batches in, answers out, for one instance or many."""
 
+    def setUp(self) -> None:
+        self.adapter = SimulatorAdapter()
 
-def test_empty_batches_and_end_of_input() -> None:
-    sink = io.StringIO()
-    simhost.serve(io.StringIO(batch(1, []) + "\n" + batch(2, []) + "\n"), sink)
-    assert [json.loads(line) for line in sink.getvalue().splitlines()] == [
-        {"round": 1, "steps": []},
-        {"round": 2, "steps": []},
-    ]
+    def test_request_is_routed_with_unknown_keys_ignored(self) -> None:
+        steps = get_steps(self.adapter, [*make_start_events(), make_request_event("a")])
 
+        assert steps == [{"type": "ROUTE", "Head": 0, "Req": "a", "Shelf": 11}]
 
-def test_a_batch_of_megabytes_is_answered() -> None:
-    gateway = simhost.Gateway()
-    got = steps(gateway, [*born(), *(request(f"r{number}") for number in range(8000))])
-    assert 1 <= len(got) <= 8
+    def test_a_batch_of_megabytes_is_answered(self) -> None:
+        requests = [make_request_event(f"r{number}") for number in range(8000)]
 
+        steps = get_steps(self.adapter, [*make_start_events(), *requests])
 
-def test_a_killed_instance_acts_no_more_and_a_new_one_starts_with_nothing() -> None:
-    gateway = simhost.Gateway()
-    steps(gateway, [*born(), request("a")])
-    got = steps(gateway, [request("b"), {"type": "SHUTDOWN", "Head": 0}, *born(), request("c")])
-    assert [step["Req"] for step in got] == ["c"]
-    assert steps(gateway, [{"type": "SHUTDOWN", "Head": 0}, request("d")]) == []
+        assert 1 <= len(steps) <= 8
 
+    def test_a_stopped_instance_acts_no_more_and_a_new_one_starts_with_nothing(self) -> None:
+        get_steps(self.adapter, [*make_start_events(), make_request_event("a")])
+        shutdown = {"type": "SHUTDOWN", "Head": 0}
 
-def test_instances_share_nothing() -> None:
-    gateway = simhost.Gateway()
-    together = steps(gateway, [*born(0), *born(1), request("a", 0), request("b", 1)])
-    assert together == [
-        {"type": "ROUTE", "Head": head, "Req": name, "Shelf": 11} for head, name in ((0, "a"), (1, "b"))
-    ]
+        steps = get_steps(
+            self.adapter,
+            [make_request_event("b"), shutdown, *make_start_events(), make_request_event("c")],
+        )
+
+        assert [step["Req"] for step in steps] == ["c"]
+        assert get_steps(self.adapter, [shutdown, make_request_event("d")]) == []
+
+    def test_instances_share_nothing(self) -> None:
+        steps = get_steps(
+            self.adapter,
+            [
+                *make_start_events(0),
+                *make_start_events(1),
+                make_request_event("a", 0),
+                make_request_event("b", 1),
+            ],
+        )
+
+        assert steps == [
+            {"type": "ROUTE", "Head": 0, "Req": "a", "Shelf": 11},
+            {"type": "ROUTE", "Head": 1, "Req": "b", "Shelf": 11},
+        ]
+
+    def test_a_fault_of_the_policy_is_reported_with_its_text(self) -> None:
+        with mock.patch.object(Policy, "step", side_effect=RuntimeError("out of slots")):
+            steps = get_steps(self.adapter, make_start_events())
 
+        assert steps == [{"type": "INTERNAL_ERROR", "Head": 0, "Msg": "RuntimeError: out of slots"}]
 
-def test_a_fault_of_the_policy_is_reported_with_its_text(monkeypatch: pytest.MonkeyPatch) -> None:
-    def broken(*_: object) -> None:
-        raise RuntimeError("out of slots")
 
-    monkeypatch.setattr(simhost.Policy, "step", broken)
-    got = steps(simhost.Gateway(), born())
-    assert got == [{"type": "INTERNAL_ERROR", "Head": 0, "Msg": "RuntimeError: out of slots"}]
+class ServeTest(unittest.TestCase):
+    """The stream of batches."""
+
+    def test_empty_batches_are_answered_until_the_end_of_input(self) -> None:
+        sink = io.StringIO()
+
+        simulator_adapter.serve(io.StringIO(make_batch(1, []) + "\n" + make_batch(2, []) + "\n"), sink)
+
+        assert [json.loads(line) for line in sink.getvalue().splitlines()] == [
+            {"round": 1, "steps": []},
+            {"round": 2, "steps": []},
+        ]
 
 
 @pytest.mark.parametrize(
     "line",
-    ["tea", "[]", '{"TsS":1}', '{"TsS":1,"round":1,"news":[{"type":"TEA","Head":0}]}', '{"TsS":1,"round":1,'],
+    [
+        "tea",
+        "[]",
+        '{"TsS":1}',
+        '{"TsS":1,"round":1,"news":[{"type":"TEA","Head":0}]}',
+        '{"TsS":1,"round":1,',
+    ],
 )
 def test_malformed_line_ends_with_one_plain_message(line: str) -> None:
     command = [sys.executable, "-B", "-m", "storage_gateway.simulator_adapter"]
+
     result = subprocess.run(command, cwd=ROOT, input=line + "\n", capture_output=True, text=True)
+
     assert result.returncode == 2
     assert result.stdout == ""
     assert result.stderr.startswith("simhost: ")
