--- a/tests/aiohttp_middleware/test_aiohttp_middleware.py
+++ b/tests/aiohttp_middleware/test_aiohttp_middleware.py
@@ -1,8 +1,9 @@
-"""The middleware on a common aiohttp.web application, with handlers in the place of boxes."""
+"""The middleware in an aiohttp.web application, with handlers in the place of storage nodes."""
 
 from __future__ import annotations
 
 import unittest
+from dataclasses import dataclass, field
 
 from aiohttp import web
 from aiohttp.test_utils import TestClient, TestServer
@@ -12,53 +13,83 @@
 from storage_gateway.endpoints.registry import EndpointRegistry
 from storage_gateway.errors import NotExecutedError
 from storage_gateway.lifecycle import RequestExecutor
-from tests.support.peers import apply_endpoints, make_endpoint, make_two_class_settings
+from tests.support.configuration import make_two_class_settings
+from tests.support.endpoints import apply_endpoints, make_endpoint
 from tests.support.policy import make_plan
 
+UNSCHEDULED_PATH = "/free"
 
-class MiddlewareCase(unittest.IsolatedAsyncioTestCase):
-    async def ask(self, method: str, script: list[object], node: bool = True) -> tuple[int, list[int | None]]:
-        """The status, and the node of each run of the handler, which does as scripted."""
-        executor = RequestExecutor(
-            make_two_class_settings(plans=[make_plan(expected_rate=80.0, reserved_rate=80.0)])
+
+@dataclass
+class ScriptedHandler:
+    """A handler that returns the next status of its script, or raises the next exception.
+
+    Attributes:
+        nodes: the node of each run.
+    """
+
+    script: list[int | Exception]
+    nodes: list[int | None] = field(default_factory=list)
+
+    async def __call__(self, request: web.Request) -> web.Response:
+        self.nodes.append(request.get(NODE))
+        step = self.script.pop(0)
+        if isinstance(step, Exception):
+            raise step
+        return web.Response(status=step)
+
+
+def make_executor(has_node: bool) -> RequestExecutor:
+    plan = make_plan(expected_rate=80.0, reserved_rate=80.0)
+    executor = RequestExecutor(make_two_class_settings(plans=[plan]))
+    if has_node:
+        executor.post(apply_endpoints(EndpointRegistry({}), make_endpoint("s-0", 1), is_snapshot=True))
+    return executor
+
+
+async def send_request(
+    method: str, path: str, script: list[int | Exception], has_node: bool = True
+) -> tuple[int, list[int | None]]:
+    """Return the status of the response, and the node of each run of the handler."""
+    executor = make_executor(has_node)
+    handler = ScriptedHandler(script)
+
+    async def describe(request: web.Request) -> api.RequestArrived | None:
+        if request.path == UNSCHEDULED_PATH:
+            return None
+        return api.RequestArrived(
+            request_id=executor.new_request_id(),
+            class_index=int(request.method == "PUT"),
+            plan_index=0,
+            volume_id=1,
+            object_key=1,
+            shard=0,
+            units=1.0,
+            deadline=executor.now() + 1.0,
+            gateway_count=1,
         )
-        if node:
-            executor.post(apply_endpoints(EndpointRegistry({}), make_endpoint("s-0", 1), is_snapshot=True))
-        runs: list[int | None] = []
-
-        async def handler(request: web.Request) -> web.Response:
-            runs.append(request.get(NODE))
-            match script.pop(0):
-                case Exception() as error:
-                    raise error
-                case status:
-                    return web.Response(status=int(str(status)))
-
-        async def describe(request: web.Request) -> api.RequestArrived | None:
-            if request.path == "/free":
-                return None
-            kind = int(request.method == "PUT")
-            return api.RequestArrived(
-                executor.new_request_id(), kind, 0, 1, 1, 0, 1.0, executor.now() + 1.0, 1
-            )
-
-        app = web.Application(middlewares=[scheduled(executor, describe)])
-        app.router.add_route("*", "/{path:.*}", handler)
-        async with TestClient(TestServer(app)) as client:
-            response = await client.request(method.split()[0], method.split()[1])
-            return response.status, runs
-
-    async def test_a_handler_runs_at_the_node_that_the_core_names(self) -> None:
-        assert await self.ask("GET /tile", [200]) == (200, [1])
-        assert await self.ask("GET /free", [200]) == (200, [None])
-
-    async def test_a_write_runs_again_only_if_it_never_ran(self) -> None:
-        assert await self.ask("PUT /tile", [NotExecutedError(), 201]) == (201, [1, 1])
-        assert await self.ask("PUT /tile", [500, 201]) == (500, [1])
-        assert await self.ask("PUT /tile", [RuntimeError("half done"), 201]) == (502, [1])
-
-    async def test_an_http_exception_is_the_handler_s_answer(self) -> None:
-        assert await self.ask("GET /tile", [web.HTTPNotFound()]) == (404, [1])
-
-    async def test_without_a_node_a_request_is_refused(self) -> None:
-        assert await self.ask("GET /tile", [200], node=False) == (503, [])
+
+    app = web.Application(middlewares=[scheduled(executor, describe)])
+    app.router.add_route("*", "/{path:.*}", handler.__call__)
+    async with TestClient(TestServer(app)) as client:
+        response = await client.request(method, path)
+        return response.status, handler.nodes
+
+
+class ScheduledTest(unittest.IsolatedAsyncioTestCase):
+    """Which runs of a handler the policy allows, and what the client gets."""
+
+    async def test_a_handler_runs_for_the_node_that_the_policy_names(self) -> None:
+        assert await send_request("GET", "/tile", [200]) == (200, [1])
+        assert await send_request("GET", UNSCHEDULED_PATH, [200]) == (200, [None])
+
+    async def test_a_write_runs_again_only_if_it_was_not_executed(self) -> None:
+        assert await send_request("PUT", "/tile", [NotExecutedError(), 201]) == (201, [1, 1])
+        assert await send_request("PUT", "/tile", [500, 201]) == (500, [1])
+        assert await send_request("PUT", "/tile", [RuntimeError("half done"), 201]) == (502, [1])
+
+    async def test_an_http_exception_is_the_handler_s_response(self) -> None:
+        assert await send_request("GET", "/tile", [web.HTTPNotFound()]) == (404, [1])
+
+    async def test_without_a_node_a_request_is_rejected(self) -> None:
+        assert await send_request("GET", "/tile", [200], has_node=False) == (503, [])
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,6 @@
-"""KNOWN-RED.txt: tests that fail for a fault that is known, one a line: test, cause, issue; three at most.
+"""KNOWN-RED.txt: tests that fail for a known fault, one a line: test, cause, issue; three at most.
 
-Each has to fail: one that passes turns the run red, so that its line goes with the mend.
+Each of them has to fail: one that passes turns the run red, so that its line goes when the fault is mended.
 """
 
 from __future__ import annotations
@@ -9,29 +9,40 @@
 
 import pytest
 
-MOST = 3
-
-
-def read(path: Path) -> dict[str, str]:
-    lines = [line for line in path.read_text().splitlines() if line.strip()] if path.exists() else []
-    if len(lines) > MOST:
-        raise pytest.UsageError(f"{path.name}: {len(lines)} lines, {MOST} at most")
-    return {line.partition(",")[0].strip(): line for line in lines}
+KNOWN_RED_FILE = "KNOWN-RED.txt"
+MAX_KNOWN_RED = 3
 
 
 def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
-    known = read(config.rootpath / "KNOWN-RED.txt")
-    whole = {Path(item.nodeid.partition("::")[0]) for item in items}
+    """Expect each listed test to fail, and refuse a list that names a test which is not there."""
+    known_red = _read_known_red(config.rootpath / KNOWN_RED_FILE)
+    collected_files = {_file_of(item.nodeid) for item in items}
     found = set()
     for item in items:
-        if item.nodeid in known:
+        if item.nodeid in known_red:
             found.add(item.nodeid)
-            item.add_marker(pytest.mark.xfail(reason=known[item.nodeid], strict=True))
-    lost = [name for name in known if name not in found and Path(name.partition("::")[0]) in whole]
-    if lost and not config.getoption("keyword") and not any("::" in arg for arg in config.args):
-        raise pytest.UsageError(f"KNOWN-RED.txt: no such test: {', '.join(lost)}")
+            item.add_marker(pytest.mark.xfail(reason=known_red[item.nodeid], strict=True))
+    missing = [name for name in known_red if name not in found and _file_of(name) in collected_files]
+    is_selection = config.getoption("keyword") or any("::" in arg for arg in config.args)
+    if missing and not is_selection:
+        raise pytest.UsageError(f"{KNOWN_RED_FILE}: no such test: {', '.join(missing)}")
 
 
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter, config: pytest.Config) -> None:
-    for line in read(config.rootpath / "KNOWN-RED.txt").values():
+    """Print the list at the end of each run."""
+    for line in _read_known_red(config.rootpath / KNOWN_RED_FILE).values():
         terminalreporter.write_line(f"known red: {line}")
+
+
+def _read_known_red(path: Path) -> dict[str, str]:
+    """Return the lines of the list by the test that each names."""
+    if not path.exists():
+        return {}
+    lines = [line for line in path.read_text().splitlines() if line.strip()]
+    if len(lines) > MAX_KNOWN_RED:
+        raise pytest.UsageError(f"{path.name}: {len(lines)} lines, {MAX_KNOWN_RED} at most")
+    return {line.partition(",")[0].strip(): line for line in lines}
+
+
+def _file_of(test_id: str) -> Path:
+    return Path(test_id.partition("::")[0])
