--- a/tests/project/test_known_red.py
+++ b/tests/project/test_known_red.py
@@ -1,4 +1,4 @@
-"""The list of known failures passes over those alone, and none that passes."""
+"""The list of known failures: they alone may fail, and each of them has to."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 
 @pytest.mark.parametrize(
-    ("listed", "code", "said"),
+    ("listed", "exit_status", "printed"),
     [
         ("", 1, "1 failed, 1 passed"),
         ("test_it.py::test_red, a cause, issue 5\n", 0, "known red: test_it.py::test_red, a cause, issue 5"),
@@ -23,13 +23,19 @@
         ("a\nb\nc\nd\n", 4, "4 lines, 3 at most"),
     ],
 )
-def test_the_list_is_strict(tmp_path: Path, listed: str, code: int, said: str) -> None:
+def test_the_list_is_strict(tmp_path: Path, listed: str, exit_status: int, printed: str) -> None:
     (tmp_path / "test_it.py").write_text(TESTS)
     (tmp_path / "conftest.py").write_text((ROOT / "tests" / "conftest.py").read_text())
     (tmp_path / "KNOWN-RED.txt").write_text(listed)
+    options = ["-p", "no:cacheprovider", "--rootdir", str(tmp_path)]
+
     result = subprocess.run(
-        [sys.executable, "-m", "pytest", "-p", "no:cacheprovider", "--rootdir", str(tmp_path), str(tmp_path)],
-        cwd=tmp_path, capture_output=True, text=True,
-    )  # fmt: skip
-    assert result.returncode == code, result.stdout + result.stderr
-    assert said in result.stdout + result.stderr
+        [sys.executable, "-m", "pytest", *options, str(tmp_path)],
+        cwd=tmp_path,
+        capture_output=True,
+        text=True,
+    )
+
+    output = result.stdout + result.stderr
+    assert result.returncode == exit_status, output
+    assert printed in output
--- a/tests/project/test_style.py
+++ b/tests/project/test_style.py
@@ -1,4 +1,4 @@
-"""Lint, types and the limits on the module's size."""
+"""Format, lint, types, and the limit on the policy's size."""
 
 import subprocess
 import sys
@@ -7,17 +7,22 @@
 from tests.support.project import ROOT
 
 
-def run(*command: str) -> None:
+def run_module(*command: str) -> None:
+    """Run a Python module as a program on the project, and expect that it finds no fault."""
     result = subprocess.run([sys.executable, "-m", *command], cwd=ROOT, capture_output=True, text=True)
     assert result.returncode == 0, result.stdout + result.stderr
 
 
+def test_format() -> None:
+    run_module("ruff", "format", "--check", "--no-cache", ".")
+
+
 def test_lint() -> None:
-    run("ruff", "check", "--no-cache", ".")
+    run_module("ruff", "check", "--no-cache", ".")
 
 
 def test_types() -> None:
-    run("mypy", "--cache-dir=/dev/null")
+    run_module("mypy", "--cache-dir=/dev/null")
 
 
 def test_module_stays_small() -> None:
