--- /dev/null
+++ b/tests/lifecycle/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the life of a request."""
