Test when the SFTP service is open, and say what the package is

The service with VRRP was covered by the tests of its two parts only: off, open without VRRP, open on a master, closed on a backup.

--- a/storage_gateway/__init__.py
+++ b/storage_gateway/__init__.py
@@ -1,1 +1,1 @@
-"""storage_gateway: the decisions of a gateway that orders and paces the I/O of many volumes."""
+"""A gateway between clients and storage nodes: schedules requests onto nodes, one instance on each host."""
--- a/storage_gateway/lifecycle.py
+++ b/storage_gateway/lifecycle.py
@@ -1,8 +1,8 @@
 """The life of a request: one policy, its clock and timer, and the attempts that it decides on.
 
 A server brings an ``api.RequestArrived`` and a function that makes one attempt at a storage node;
-``RequestExecutor.execute`` asks the policy where and when to send it, and returns how the request ended. It
-knows no wire protocol.
+``RequestExecutor.execute`` lets the policy say where and when to send it, and returns how the request ended.
+No wire protocol is known here.
 """
 
 from __future__ import annotations
--- /dev/null
+++ b/tests/service/test_sftp_service.py
@@ -0,0 +1,106 @@
+"""When the SFTP service is open: always where it is on, with VRRP only while this instance is master."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import unittest
+
+from storage_gateway.config import Address, SftpConfig, VolumePath, VrrpConfig
+from storage_gateway.endpoints.registry import EndpointRegistry
+from storage_gateway.lifecycle import RequestExecutor
+from storage_gateway.sftp_service import SftpService
+from tests.support.configuration import make_config, make_two_class_settings
+
+LOOPBACK = "127.0.0.1"
+OWNER_PRIORITY = 255  # of the owner of the addresses, who is master at once (RFC 5798, 6.4.1)
+BACKUP_PRIORITY = 100
+LONG_INTERVAL_S = 10.0  # a backup becomes master after three of them
+
+
+def find_free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind((LOOPBACK, 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+def make_sftp_config() -> SftpConfig:
+    return SftpConfig(
+        listen=Address(LOOPBACK, find_free_port()),
+        volumes=[VolumePath("/plats", 7, 0, 0, 1)],
+        read_class=0,
+        write_class=1,
+        node_port=0,
+        max_upload_bytes=1024,
+        unit_bytes=1024,
+        max_handles=4,
+        idle_timeout_s=60.0,
+        command_timeout_s=0.1,
+    )
+
+
+def make_vrrp_config(priority: int) -> VrrpConfig:
+    return VrrpConfig(
+        listen=Address(LOOPBACK, 0),
+        peers=[Address(LOOPBACK, 9)],
+        router=1,
+        priority=priority,
+        interval=LONG_INTERVAL_S,
+        preempt=True,
+        addresses=["192.0.2.1"],
+    )
+
+
+class SftpServiceTest(unittest.IsolatedAsyncioTestCase):
+    """Each test starts the service and tries to connect to it."""
+
+    async def start(self, sftp: SftpConfig | None, vrrp: VrrpConfig | None = None) -> SftpService | None:
+        config = make_config(sftp=sftp, vrrp=vrrp)
+        executor = RequestExecutor(make_two_class_settings())
+        return await SftpService.start(config, executor, EndpointRegistry({}))
+
+    async def accepts(self, address: Address) -> bool:
+        try:
+            _, writer = await asyncio.open_connection(address.host, address.port)
+        except ConnectionRefusedError:
+            return False
+        writer.close()
+        return True
+
+    async def test_there_is_none_where_the_configuration_has_it_off(self) -> None:
+        assert await self.start(sftp=None) is None
+
+    async def test_without_vrrp_it_is_open_until_it_is_closed(self) -> None:
+        sftp = make_sftp_config()
+        service = await self.start(sftp)
+        assert service is not None
+        assert await self.accepts(sftp.listen)
+
+        await service.close(grace_s=1.0)
+
+        assert not await self.accepts(sftp.listen)
+
+    async def test_it_is_open_on_a_master_until_it_is_closed(self) -> None:
+        sftp = make_sftp_config()
+        service = await self.start(sftp, make_vrrp_config(OWNER_PRIORITY))
+        assert service is not None
+        async with asyncio.timeout(5):
+            is_open = False
+            while not is_open:
+                await asyncio.sleep(0.005)
+                is_open = await self.accepts(sftp.listen)
+
+        await service.close(grace_s=1.0)
+
+        assert not await self.accepts(sftp.listen)
+
+    async def test_it_is_closed_on_a_backup(self) -> None:
+        sftp = make_sftp_config()
+        service = await self.start(sftp, make_vrrp_config(BACKUP_PRIORITY))
+        assert service is not None
+
+        await asyncio.sleep(0.05)
+
+        assert not await self.accepts(sftp.listen)
+        await service.close(grace_s=1.0)
