--- a/storage_gateway/config/__init__.py
+++ b/storage_gateway/config/__init__.py
@@ -14,8 +14,6 @@
 from storage_gateway.config.settings import read_settings
 from storage_gateway.config.table import is_finite_number, read_address
 
-finite = is_finite_number  # the earlier name, until its callers have the new one
-
 __all__ = [
     "Address",
     "ConnectionBudget",
@@ -25,7 +23,6 @@
     "SftpConfig",
     "VolumePath",
     "VrrpConfig",
-    "finite",
     "is_finite_number",
     "read_address",
     "read_configuration",
--- a/storage_gateway/config/schema.py
+++ b/storage_gateway/config/schema.py
@@ -215,15 +215,6 @@
             self.discovery = new.configured_discovery
         return ReloadResult(discovery_moved, deferred_keys)
 
-    def notice(self) -> float:
-        """Return ``termination_grace_period_s()``, under its earlier name."""
-        return self.termination_grace_period_s()
-
-    def reload(self, new: GatewayConfig) -> tuple[bool, list[str]]:
-        """Do ``apply_reload``, under its earlier name and with a bare tuple."""
-        result = self.apply_reload(new)
-        return result.discovery_moved, result.deferred_keys
-
     def _changed_keys_that_wait(self, new: GatewayConfig) -> list[str]:
         return [
             key.name
--- a/storage_gateway/endpoints/discovery.py
+++ b/storage_gateway/endpoints/discovery.py
@@ -122,15 +122,6 @@
             "watch_failures": self.watches[-1].failures if self.watches else None,
         }
 
-    @property
-    def heard(self) -> asyncio.Event:
-        """The event ``connected``, under its earlier name."""
-        return self.connected
-
-    def take(self, update: EndpointUpdate, kind: api.EndpointUpdateKind | None = None) -> None:
-        """Do ``publish``, under its earlier name."""
-        self.publish(update, kind)
-
 
 def _kind_of(update: EndpointUpdate) -> api.EndpointUpdateKind:
     if update.is_snapshot:
--- a/storage_gateway/endpoints/watch.py
+++ b/storage_gateway/endpoints/watch.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import Protocol
 
 import aiohttp
 import structlog
@@ -16,9 +16,6 @@
 from storage_gateway.endpoints.registry import EndpointUpdate
 from storage_gateway.errors import ProtocolError
 
-if TYPE_CHECKING:
-    from storage_gateway.endpoints.discovery import DiscoveryClient as DiscoveryClient
-
 IDLE_TIMEOUT_S = 3.0  # since the last whole message; an empty one comes every 2 s on a watch that works
 log = structlog.get_logger()
 
@@ -163,12 +160,3 @@
         self._owner.publish(update, kind)
         self._version = update.version
         self._owner.connected.set()
-
-
-def __getattr__(name: str) -> Any:
-    """Find DiscoveryClient under its earlier path, until the service has the new one."""
-    if name == "DiscoveryClient":
-        from storage_gateway.endpoints import discovery
-
-        return discovery.DiscoveryClient
-    raise AttributeError(name)
--- a/storage_gateway/sftp/server.py
+++ b/storage_gateway/sftp/server.py
@@ -37,11 +37,6 @@
         self._volumes = VolumeTree(config.volumes)
         self._scheduler = CommandScheduler(config, self._volumes, executor, node_client)
 
-    @property
-    def boxes(self) -> SftpNodeClient:
-        """The former name of ``node_client``, which ``service.py`` still uses."""
-        return self.node_client
-
     async def open(self) -> None:
         """Listen, unless it does already.
 
