--- a/storage_gateway/config/schema.py
+++ b/storage_gateway/config/schema.py
@@ -38,7 +38,7 @@
         prefix: an absolute path without a trailing slash.
         volume_id: the volume, as requests name it to the policy.
         plan_index: index of the volume's plan in ``Settings.plans``.
-        shard: the shard that holds the volume; -1 for none.
+        shard: the shard that holds the volume; ``api.NO_SHARD`` for none.
         gateway_count: how many gateway instances serve the volume.
     """
 
@@ -85,18 +85,18 @@
     Attributes:
         listen: address on which advertisements are received.
         peers: addresses to which advertisements are sent.
-        router: virtual router id, from 1 to 255.
+        router_id: virtual router id, from 1 to 255.
         priority: this instance's priority, from 1 to 255.
-        interval: seconds between advertisements.
+        interval_s: seconds between advertisements.
         preempt: whether a higher priority takes over from a master of a lower one.
         addresses: the virtual IP addresses that are advertised.
     """
 
     listen: Address
     peers: list[Address]
-    router: int
+    router_id: int
     priority: int
-    interval: float
+    interval_s: float
     preempt: bool
     addresses: list[str]
 
--- a/storage_gateway/config/services.py
+++ b/storage_gateway/config/services.py
@@ -10,6 +10,7 @@
 from storage_gateway.config.schema import SftpConfig, VolumePath, VrrpConfig
 from storage_gateway.config.table import MAX_PORT, ConfigTable, read_address
 from storage_gateway.errors import ConfigurationError
+from storage_gateway.policy_api import NO_SHARD
 
 DEFAULT_SERVICES_FILE = Path(__file__).resolve().parents[2] / "deploy" / "fronts.toml"
 MAX_UPLOAD_BYTES = 64 * 1024  # an upload is one request to a storage node, whose body is no longer
@@ -91,7 +92,7 @@
         prefix=prefix,
         volume_id=_read_volume_id(table),
         plan_index=table.choice("plan", plan_indexes),
-        shard=table.integer("shard", -1, MAX_SHARD),
+        shard=table.integer("shard", NO_SHARD, MAX_SHARD),
         gateway_count=table.integer("hosts", 1, MAX_VOLUME_GATEWAY_COUNT, 1),
     )
     table.reject_unknown_keys()
@@ -114,9 +115,9 @@
     config = VrrpConfig(
         listen=table.address("listen"),
         peers=[read_address(peer, f"{table.path}peers") for peer in peers],
-        router=table.integer("router", 1, MAX_ROUTER_ID),
+        router_id=table.integer("router", 1, MAX_ROUTER_ID),
         priority=table.integer("priority", 1, MAX_PRIORITY, DEFAULT_PRIORITY),
-        interval=table.integer("interval_cs", 1, MAX_INTERVAL_CS, DEFAULT_INTERVAL_CS) / 100,
+        interval_s=table.integer("interval_cs", 1, MAX_INTERVAL_CS, DEFAULT_INTERVAL_CS) / 100,
         preempt=table.boolean("preempt", True),
         addresses=addresses,
     )
--- a/storage_gateway/endpoints/codec.py
+++ b/storage_gateway/endpoints/codec.py
@@ -16,7 +16,6 @@
     "DRAINING": api.EndpointState.DRAINING,
     "DELETED": api.EndpointState.REMOVED,
 }
-NO_SHARD = -1
 
 
 def decode_endpoint_update(text: str | bytes) -> EndpointUpdate:
@@ -79,7 +78,7 @@
 def _read_shard(entry: dict[str, Any]) -> int:
     shard = entry.get("cell")
     if shard is None:
-        return NO_SHARD
+        return api.NO_SHARD
     if isinstance(shard, bool) or not isinstance(shard, int):
         raise ProtocolError("cell", f"want a whole number, found {shard!r}")
     return shard
--- a/storage_gateway/endpoints/registry.py
+++ b/storage_gateway/endpoints/registry.py
@@ -21,7 +21,7 @@
         name: the node's name, unique among the nodes.
         address: where it accepts requests.
         zone: name of its zone.
-        shard: the shard that it holds; -1 for none.
+        shard: the shard that it holds; ``api.NO_SHARD`` for none.
         state: whether it serves, drains or is removed.
         started_at: Unix time of its start in seconds; 0 for long ago.
     """
--- a/storage_gateway/http/client_connection.py
+++ b/storage_gateway/http/client_connection.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import socket
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import structlog
 from aiohttp import web
@@ -13,9 +13,6 @@
 from storage_gateway.http.graceful_transport import GracefulTransport
 from storage_gateway.http.sockets import has_unread_data, peer_has_closed
 
-if TYPE_CHECKING:
-    from storage_gateway.http.connection_tracker import ConnectionTracker
-
 IDLE_TIMEOUT_S = 2.1  # for a client's connection without a request
 INCOMPLETE_HEAD_TIMEOUT_S = 0.6  # for the rest of a head that has begun before the idle timeout passed
 LINGER_S = 0.25  # for a client to read its last response and close; what it sends meanwhile is dropped
@@ -27,6 +24,19 @@
 log = structlog.get_logger()
 
 
+class ConnectionObserver(Protocol):
+    """What a connection reports its state to."""
+
+    def mark_idle(self, connection: ClientConnection) -> None:
+        """No request is in progress on the connection."""
+
+    def mark_busy(self, connection: ClientConnection) -> None:
+        """A request's head has come."""
+
+    def forget(self, connection: ClientConnection) -> None:
+        """The connection has ended."""
+
+
 class ClientConnection(InspectableRequestHandler):
     """A client's connection; it carries one request at a time.
 
@@ -39,7 +49,7 @@
 
     Args:
         server: aiohttp's server, which handles the requests.
-        tracker: the record of all connections; this one reports to it when it is idle, busy or lost.
+        observer: told when this connection is idle, busy or lost.
         connection: the connection's socket.
         loop: the running event loop.
     """
@@ -47,7 +57,7 @@
     def __init__(
         self,
         server: web.Server,
-        tracker: ConnectionTracker,
+        observer: ConnectionObserver,
         connection: socket.socket,
         loop: asyncio.AbstractEventLoop,
     ) -> None:
@@ -67,7 +77,7 @@
         self.head_started_at = 0.0
         self.request_is_complete = False
         self.graceful_transport: GracefulTransport | None = None
-        self._tracker = tracker
+        self._observer = observer
         self._is_handling_request = False
 
     def begin_request(self) -> None:
@@ -79,7 +89,7 @@
         """Note that the response has been decided on; it may not have been written yet."""
         self._is_handling_request = False
         self.request_is_complete = False
-        self._tracker.mark_idle(self)
+        self._observer.mark_idle(self)
 
     def client_has_closed(self) -> bool:
         """Whether the client has closed the connection, as far as the kernel knows at this moment."""
@@ -101,7 +111,7 @@
 
     def evict(self) -> None:
         """End the connection at once, whatever is in progress; an idle one is owed nothing."""
-        self._tracker.forget(self)
+        self._observer.forget(self)
         if self.graceful_transport:
             self.graceful_transport.abort()
 
@@ -110,11 +120,11 @@
         assert isinstance(transport, asyncio.Transport)
         self.graceful_transport = GracefulTransport(transport, LINGER_S, UNREAD_RESPONSE_TIMEOUT_S)
         super().connection_made(self.graceful_transport)
-        self._tracker.mark_idle(self)
+        self._observer.mark_idle(self)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Forget the connection; called by asyncio."""
-        self._tracker.forget(self)
+        self._observer.forget(self)
         if self.graceful_transport:
             self.graceful_transport.connection_lost()
         super().connection_lost(exc)
@@ -131,7 +141,7 @@
             return
         super().data_received(data)
         if self.has_queued_requests():
-            self._tracker.mark_busy(self)
+            self._observer.mark_busy(self)
         elif not self._is_handling_request:
             self.head_started_at = self.head_started_at or self.loop_time()
 
--- a/storage_gateway/http/request_codec.py
+++ b/storage_gateway/http/request_codec.py
@@ -21,7 +21,6 @@
 MAX_GATEWAYS = 1 << 20
 MAX_UINT64 = (1 << 64) - 1
 HEX_ID_LENGTH = 16  # digits of a 64-bit id
-NO_SHARD = -1
 VISIBLE_ASCII = re.compile(r"[!-~]+")
 SINGLE_HEADERS = ("X-Trace-Id", "X-Qos", "X-Plan", "X-Expires-In-Ms", "X-IO", "Content-Length")
 
@@ -38,7 +37,7 @@
         plan_index: index of its plan in the settings.
         volume_id: the volume that it reads or writes.
         object_key: the object within the volume.
-        shard: the shard that owns the volume, ``NO_SHARD`` if the client names none.
+        shard: the shard that holds the object, ``api.NO_SHARD`` for a new object.
         units: its size.
         gateway_count: gateway instances that serve the volume, as far as the client knows.
         timeout_s: seconds that the client waits, from when it sent the request.
@@ -112,7 +111,7 @@
         plan_index=plan_index,
         volume_id=_decode_hex_id(io_fields.get("volume"), "X-IO volume"),
         object_key=_decode_hex_id(block, "block"),
-        shard=_decode_integer(io_fields.get("shard"), "X-IO shard", NO_SHARD, max_shard),
+        shard=_decode_integer(io_fields.get("shard"), "X-IO shard", api.NO_SHARD, max_shard),
         units=float(_decode_integer(io_fields.get("units"), "X-IO units", 1, max_units)),
         gateway_count=_decode_integer(io_fields.get("hosts"), "X-IO hosts", 1, MAX_GATEWAYS),
         # A longer timeout than that of its class would let a request hold a node's slot for as long.
--- a/storage_gateway/policy/scheduling.py
+++ b/storage_gateway/policy/scheduling.py
@@ -8,7 +8,7 @@
 from storage_gateway.policy.admission import AdmissionControl
 from storage_gateway.policy.retries import DEADLINE_MARGIN_S, RetryPolicy
 from storage_gateway.policy.slow_start import SlowStart
-from storage_gateway.policy_api import NEW_OBJECT_SHARD, SendAttempt
+from storage_gateway.policy_api import NO_SHARD, SendAttempt
 from storage_gateway.policy_state import Node, PolicyState, Request
 
 
@@ -63,7 +63,7 @@
         """
         limit = int(node.concurrency_limit)
         queues = self.state.requests.queues
-        queued = queues.get(node.shard, []) + queues.get(NEW_OBJECT_SHARD, [])
+        queued = queues.get(node.shard, []) + queues.get(NO_SHARD, [])
         if node.in_flight_count < limit:
             return queued
         if node.in_flight_count >= 2 * limit:
--- a/storage_gateway/policy_api/__init__.py
+++ b/storage_gateway/policy_api/__init__.py
@@ -13,7 +13,7 @@
     WatchEndpoints,
 )
 from storage_gateway.policy_api.events import (
-    NEW_OBJECT_SHARD,
+    NO_SHARD,
     AttemptEnded,
     AttemptOutcome,
     ClientCancelled,
@@ -35,7 +35,7 @@
 )
 
 __all__ = [
-    "NEW_OBJECT_SHARD",
+    "NO_SHARD",
     "Action",
     "AttemptEnded",
     "AttemptOutcome",
--- a/storage_gateway/policy_api/events.py
+++ b/storage_gateway/policy_api/events.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
-NEW_OBJECT_SHARD = -1
-"""The shard of a request that creates an object: any node can take it. A node of this shard holds none."""
+NO_SHARD = -1
+"""The shard of a request that creates an object, which any node can take, and of a node that holds none."""
 
 
 class AttemptOutcome(Enum):
--- a/storage_gateway/policy_state/estimators.py
+++ b/storage_gateway/policy_state/estimators.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Sequence
 from itertools import pairwise
 
-from storage_gateway.policy_api import NEW_OBJECT_SHARD
+from storage_gateway.policy_api import NO_SHARD
 
 FAST_GAIN = 0.1
 """Weight of one answer in a running mean of a node's times, more where answers are rare."""
@@ -147,9 +147,7 @@
         """
         shard_recent, shard_long = self.shards[shard]
         prior = self.mean_units / self.long_span_s
-        part = (
-            1.0 if shard == NEW_OBJECT_SHARD else (shard_long.at(now) + prior) / (self.long.at(now) + prior)
-        )
+        part = 1.0 if shard == NO_SHARD else (shard_long.at(now) + prior) / (self.long.at(now) + prior)
         recent = self.recent.at(now)
         reserved = self.recent_reserved.at(now)
         demanded = max(part * recent, shard_recent.at(now) - units / self.recent_span_s)
--- a/storage_gateway/policy_state/node_table.py
+++ b/storage_gateway/policy_state/node_table.py
@@ -5,7 +5,7 @@
 import math
 from collections.abc import Container
 
-from storage_gateway.policy_api import NEW_OBJECT_SHARD, EndpointEntry, EndpointState, Settings
+from storage_gateway.policy_api import NO_SHARD, EndpointEntry, EndpointState, Settings
 from storage_gateway.policy_state.estimators import low_biased_mean
 from storage_gateway.policy_state.node import Node
 
@@ -64,7 +64,7 @@
 
     def mark_ready(self, shard: int) -> None:
         """Note that the owner of this shard (of any, for a new object) may have something new to choose."""
-        if shard == NEW_OBJECT_SHARD:
+        if shard == NO_SHARD:
             self.mark_all_ready()
         elif node := self.owners.get(shard):
             self.ready[node.node_id] = node
--- a/storage_gateway/policy_state/request.py
+++ b/storage_gateway/policy_state/request.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from storage_gateway.policy_api import NEW_OBJECT_SHARD, IdempotencyScope, Plan, RequestArrived, RequestClass
+from storage_gateway.policy_api import NO_SHARD, IdempotencyScope, Plan, RequestArrived, RequestClass
 from storage_gateway.policy_state.node import Node, NodeStart
 from storage_gateway.policy_state.volume import Volume
 
@@ -42,7 +42,7 @@
 
     Attributes:
         request_id: its id.
-        shard: the shard that holds its object, or ``NEW_OBJECT_SHARD``.
+        shard: the shard that holds its object, or ``NO_SHARD``.
         class_index: its class, as an index.
         request_class: its class.
         plan: the plan of its volume.
@@ -128,7 +128,7 @@
     @property
     def creates_object(self) -> bool:
         """Any node can take it."""
-        return self.shard == NEW_OBJECT_SHARD
+        return self.shard == NO_SHARD
 
     @property
     def has_left(self) -> bool:
--- a/storage_gateway/simulator_adapter.py
+++ b/storage_gateway/simulator_adapter.py
@@ -122,7 +122,7 @@
 
 def main() -> int:
     """Serve the simulator on standard input and output, and return the exit status of the process."""
-    return run_program("simhost", lambda: serve(sys.stdin, sys.stdout), WireFormatError)
+    return run_program("simulator_adapter", lambda: serve(sys.stdin, sys.stdout), WireFormatError)
 
 
 def read_entry(entry: WireObject) -> api.EndpointEntry:
@@ -130,7 +130,7 @@
     shard = entry.get("Pack")
     return api.EndpointEntry(
         node=entry["Shelf"],
-        shard=-1 if shard is None else shard,
+        shard=api.NO_SHARD if shard is None else shard,
         zone=entry.get("Area") or 0,
         state=ENDPOINT_STATES[entry["StageState"]],
         started_at=entry.get("UpSinceS") or 0.0,
--- a/storage_gateway/vrrp/transport.py
+++ b/storage_gateway/vrrp/transport.py
@@ -29,7 +29,7 @@
 
     def __init__(self, config: VrrpConfig, on_mastership_change: Callable[[bool], Awaitable[None]]) -> None:
         self.config = config
-        self.router = VirtualRouter(config.priority, config.interval, config.preempt, config.listen.host)
+        self.router = VirtualRouter(config.priority, config.interval_s, config.preempt, config.listen.host)
         self._on_mastership_change = on_mastership_change
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.DatagramTransport | None = None
@@ -82,7 +82,7 @@
         if not any(peer.host == source for peer in self.config.peers):
             raise AdvertisementError("not of a peer")
         advertisement = decode_advertisement(data)
-        if advertisement.router_id != self.config.router:
+        if advertisement.router_id != self.config.router_id:
             raise AdvertisementError(f"router {advertisement.router_id}")
         return advertisement
 
@@ -98,7 +98,9 @@
         if is_master == self._is_master:
             return
         self._is_master = is_master
-        log.info("vrrp_mastership_gained" if is_master else "vrrp_mastership_lost", router=self.config.router)
+        log.info(
+            "vrrp_mastership_gained" if is_master else "vrrp_mastership_lost", router=self.config.router_id
+        )
         self._mastership_changes.put_nowait(is_master)
 
     def _set_timer(self) -> None:
@@ -113,7 +115,7 @@
             return
         config = self.config
         message = encode_advertisement(
-            Advertisement(config.router, priority, config.interval, tuple(config.addresses))
+            Advertisement(config.router_id, priority, config.interval_s, tuple(config.addresses))
         )
         for peer in config.peers:
             self._transport.sendto(message, (peer.host, peer.port))
--- a/tests/config/test_services.py
+++ b/tests/config/test_services.py
@@ -38,7 +38,7 @@
             services = read_enabled(Path(folder))
             assert services.sftp
             assert services.vrrp
-            assert (services.sftp.volumes[0].prefix, services.vrrp.interval) == ("/plats", 1.0)
+            assert (services.sftp.volumes[0].prefix, services.vrrp.interval_s) == ("/plats", 1.0)
             with pytest.raises(ConfigurationError, match=r"^fronts.toml: sftp.unit_byte: unknown key"):
                 read_enabled(Path(folder), ("unit_bytes", "unit_byte"))
 
--- a/tests/service/test_sftp_service.py
+++ b/tests/service/test_sftp_service.py
@@ -44,9 +44,9 @@
     return VrrpConfig(
         listen=Address(LOOPBACK, 0),
         peers=[Address(LOOPBACK, 9)],
-        router=1,
+        router_id=1,
         priority=priority,
-        interval=LONG_INTERVAL_S,
+        interval_s=LONG_INTERVAL_S,
         preempt=True,
         addresses=["192.0.2.1"],
     )
--- a/tests/simulator_adapter/test_simulator_adapter.py
+++ b/tests/simulator_adapter/test_simulator_adapter.py
@@ -175,5 +175,5 @@
 
     assert result.returncode == 2
     assert result.stdout == ""
-    assert result.stderr.startswith("simhost: ")
+    assert result.stderr.startswith("simulator_adapter: ")
     assert result.stderr.count("\n") == 1
