--- a/storage_gateway/policy/node_health.py
+++ b/storage_gateway/policy/node_health.py
@@ -7,7 +7,7 @@
 
 MAX_NODE_LIMIT = 8.0  # most slots at a node: the design's default for the cap of an instance
 QUEUEING_SHARE = 0.125  # of the tightest objective, to wait at a node; the rest is for service and our queue
-MAX_HEADROOM = 64.0  # times its start that a node's excess rate may reach: all that a volume asks
+MAX_HEADROOM = 64.0  # times its start that a node's excess rate may reach: more than any volume needs
 
 
 class NodeHealth:
@@ -30,11 +30,11 @@
 
     def update(self, node: Node, event: AttemptEnded, request: Request, sent_at: float) -> None:
         """Take in an attempt's result; one that a later one has overtaken lost its answer: no failure."""
-        refused = event.outcome in (AttemptOutcome.REJECTED, AttemptOutcome.CONNECT_FAILED)
+        rejected = event.outcome in (AttemptOutcome.REJECTED, AttemptOutcome.CONNECT_FAILED)
         too_long = event.elapsed_s >= request.request_class.latency_objective_s
         if event.outcome is AttemptOutcome.SERVED:
             self._on_success(node, event, request, sent_at)
-        elif refused or (too_long and node.newest_answered <= sent_at):
+        elif rejected or (too_long and node.newest_answered <= sent_at):
             self._on_failure(node, event, request)
 
     def _on_success(self, node: Node, event: AttemptEnded, request: Request, sent_at: float) -> None:
--- a/storage_gateway/policy/slow_start.py
+++ b/storage_gateway/policy/slow_start.py
@@ -4,10 +4,8 @@
 
 from storage_gateway.policy_state import Node, PolicyState, Request, clamp
 
-SAFE_SHARE = (
-    0.75  # of what a warming node bears: unit times are those of short answers, and chance needs room
-)
-MIN_SAMPLE = 16.0  # requests that an instance has to have seen lately, to go by what it usually is asked
+SAFE_SHARE = 0.75  # of what a warming node withstands: unit times are those of short answers
+MIN_SAMPLE = 16.0  # requests that an instance has to have seen lately, to go by its usual rate
 
 
 class SlowStart:
