Load the file service only where it is on, and write the adapter's answers in one go

The adapter encoded its answers piece by piece; json.dumps gives the same text. The excess rate is charged by the reservation that the scheduler has just found.

--- a/storage_gateway/policy/admission.py
+++ b/storage_gateway/policy/admission.py
@@ -76,9 +76,9 @@
         tokens.refill(rate, plan.rate_limit_burst / request.gateway_count, now)
         return now + max(0.0, request.units - tokens.level) / rate
 
-    def charge(self, request: Request, node: Node) -> None:
+    def charge(self, request: Request, node: Node, reserved: bool) -> None:
         """Take what an attempt at this node uses of the excess rate, the reservation and the limit."""
-        if not self.within_reservation(request, node):
+        if not reserved:
             bound = max(MAX_STEP, self.state.classes[request.class_index].bound)
             price = self.max_excess_value / self.value(request, node) / bound
             node.excess_tokens[request.volume_id].level -= request.units * price
--- a/storage_gateway/policy/scheduling.py
+++ b/storage_gateway/policy/scheduling.py
@@ -82,7 +82,7 @@
     def _send(self, request: Request, node: Node) -> None:
         state = self.state
         reserved = self.admission.within_reservation(request, node)
-        self.admission.charge(request, node)
+        self.admission.charge(request, node, reserved)
         state.timers.add(state.now + self.retries.attempt_timeout(request, node, -math.inf), request)
         state.record_sent(request, node, reserved)
         first_byte_deadline = self.retries.first_byte_deadline(request)
--- a/storage_gateway/service.py
+++ b/storage_gateway/service.py
@@ -6,6 +6,7 @@
 import gc
 import os
 import signal
+from typing import TYPE_CHECKING
 
 import structlog
 
@@ -21,7 +22,9 @@
 from storage_gateway.lifecycle import RequestExecutor
 from storage_gateway.logging import configure_logging
 from storage_gateway.program import run_program
-from storage_gateway.sftp_service import SftpService
+
+if TYPE_CHECKING:
+    from storage_gateway.sftp_service import SftpService
 
 FIRST_UPDATE_TIMEOUT_S = 1.0  # for discovery's first update, after which the cached endpoints have to do
 MIN_ACCEPT_TIME_S = 0.75  # after SIGTERM every request is accepted for this long at the least
@@ -87,7 +90,7 @@
         self._loop.add_signal_handler(signal.SIGHUP, self.reload)
         try:
             self._http_server.listen()
-            self._sftp_service = await SftpService.start(self._config, self._executor, self._registry)
+            self._sftp_service = await self._start_sftp_service()
         except OSError as error:
             raise ConfigurationError("listen", f"{error}") from error
         self._executor.status_sources += [
@@ -136,6 +139,14 @@
         self._node_client.close()
         log.info("gateway_stopped")
 
+    async def _start_sftp_service(self) -> SftpService | None:
+        """Start the SFTP service where it is on; elsewhere the process does not even load its modules."""
+        if self._config.sftp is None:
+            return None
+        from storage_gateway.sftp_service import SftpService
+
+        return await SftpService.start(self._config, self._executor, self._registry)
+
     def _publish_cached_endpoints(self) -> None:
         if not self._config.known_endpoints:
             return
--- a/storage_gateway/simulator_adapter.py
+++ b/storage_gateway/simulator_adapter.py
@@ -115,8 +115,7 @@
     """
     adapter = SimulatorAdapter()
     for line in source:
-        json.dump(adapter.reply(line), sink, separators=(",", ":"))
-        sink.write("\n")
+        sink.write(json.dumps(adapter.reply(line), separators=(",", ":")) + "\n")
         sink.flush()
 
 
--- a/tests/service/test_sftp_service.py
+++ b/tests/service/test_sftp_service.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import socket
+import subprocess
+import sys
 import unittest
 
 from storage_gateway.config import Address, SftpConfig, VolumePath, VrrpConfig
@@ -11,6 +13,7 @@
 from storage_gateway.lifecycle import RequestExecutor
 from storage_gateway.sftp_service import SftpService
 from tests.support.configuration import make_config, make_two_class_settings
+from tests.support.project import ROOT
 
 LOOPBACK = "127.0.0.1"
 OWNER_PRIORITY = 255  # of the owner of the addresses, who is master at once (RFC 5798, 6.4.1)
@@ -104,3 +107,12 @@
 
         assert not await self.accepts(sftp.listen)
         await service.close(grace_s=1.0)
+
+
+def test_a_process_without_the_service_loads_none_of_its_modules() -> None:
+    program = (
+        "import sys, storage_gateway.service;"
+        "print([name for name in sys.modules if '.sftp' in name or '.vrrp' in name])"
+    )
+    result = subprocess.run([sys.executable, "-c", program], cwd=ROOT, capture_output=True, text=True)
+    assert result.stdout.strip() == "[]", result.stderr
