--- a/storage_gateway/policy/admission.py
+++ b/storage_gateway/policy/admission.py
@@ -100,7 +100,8 @@
         if node:
             late_at -= node.response_time(request.units)
             ready_at = max(node.backoff_until, self.excess_ready_at(request, node))
-            ready_at = ready_at if request.is_admitted_to(node) else math.inf
+            if not request.is_admitted_to(node):
+                ready_at = math.inf
             hopeless = ready_at >= request.deadline or not self.retries.is_safe_at(request, node)
         late_at = min(late_at, request.deadline - DEADLINE_MARGIN_S)
         if late_at > state.now and not hopeless:
@@ -127,10 +128,10 @@
         """Give the final answer at once: a rejection with a retry hint where trying again is harmless."""
         self.state.count_rejected(request, reason)
         retry_after_s = min(self.state.settings.max_retry_after_s, wait_s)
-        rejected = RejectRequest(request.request_id, retry_after_s)
-        self.finish(
-            request, rejected if self.retries.may_reject(request) else FailRequest(request.request_id)
-        )
+        if self.retries.may_reject(request):
+            self.finish(request, RejectRequest(request.request_id, retry_after_s))
+        else:
+            self.finish(request, FailRequest(request.request_id))
 
     def finish(self, request: Request, answer: Action | None, served: bool = False) -> None:
         """End a request; what is still in flight for it is cancelled where that is allowed."""
@@ -139,6 +140,6 @@
         self.state.close(request, served)
         if answer:
             self.state.actions.append(answer)
-        for number in request.in_flight if self.state.settings.can_cancel else ():
-            self.state.actions.append(CancelAttempt(request.request_id, number))
+        if self.state.settings.can_cancel:
+            self.state.actions.extend(CancelAttempt(request.request_id, one) for one in request.in_flight)
         self.state.requests.forget(request)
--- a/storage_gateway/policy/concurrency.py
+++ b/storage_gateway/policy/concurrency.py
@@ -61,10 +61,9 @@
     goal = min(1.0, sum(high))
     granted = _even_shortfall(classes, low, high, goal)
     rest = goal - sum(granted)  # what classes without a slope leave over or must give, by their room
-    room = [
-        most - now if rest > 0 else now - least for now, least, most in zip(granted, low, high, strict=True)
-    ]
-    return [now + rest * space / max(sum(room), 1e-12) for now, space in zip(granted, room, strict=True)]
+    limits = high if rest > 0 else low
+    room = [abs(limit - share) for limit, share in zip(limits, granted, strict=True)]
+    return [share + rest * space / max(sum(room), 1e-12) for share, space in zip(granted, room, strict=True)]
 
 
 def _even_shortfall(
--- a/storage_gateway/policy/node_health.py
+++ b/storage_gateway/policy/node_health.py
@@ -38,13 +38,12 @@
             self._on_failure(node, event, request)
 
     def _on_success(self, node: Node, event: AttemptEnded, request: Request, sent_at: float) -> None:
-        nodes = self.state.nodes
         node.excess_rate = self.excess_rate(node)
         gap_s = min(1.0, self.state.now - node.answered_at)
         self.state.record_answer(event, request, node, sent_at)
         if node.queueing_delay_s < self.queueing_objective_s or node.concurrency_limit <= 1:
             self._adapt_excess_rate(node, gap_s)
-        node.headroom_seen = nodes.headroom
+        node.headroom_seen = self.state.nodes.headroom
         if node.queueing_delay_s > self.queueing_objective_s:
             node.concurrency_limit = max(1.0, node.concurrency_limit - 0.5 / node.concurrency_limit)
         elif node.in_flight_count + 1 >= int(node.concurrency_limit):
--- a/storage_gateway/policy/slow_start.py
+++ b/storage_gateway/policy/slow_start.py
@@ -33,7 +33,9 @@
 
     def _chance(self, request: Request, node: Node, age: float) -> float:
         """Return the share of requests like this one that go, so that reserved units go first."""
-        demand, now, reserved = self.state.demand, self.state.now, request.is_reserved
+        demand = self.state.demand
+        now = self.state.now
+        reserved = request.is_reserved
         demand.add(request.shard, request.units, reserved, now)
         rate = self._rate(node, age)
         reserved_rate, total_rate = demand.at(request.shard, request.units, now)
--- a/storage_gateway/policy_state/node.py
+++ b/storage_gateway/policy_state/node.py
@@ -37,7 +37,7 @@
         unit_time_s: mean time of service for a unit; 0 until it has answered.
         excess_rate: units a second by weight that a volume may send beyond its reservation.
         excess_tokens: a volume's part of that rate, by volume.
-        headroom_seen: ``PolicyState.headroom`` when it last answered.
+        headroom_seen: ``NodeTable.headroom`` when it last answered.
         slow_start_tokens: after a start, expected units that may still be sent at once.
         backoff_until: nothing is sent before.
         failures_in_row: attempts without an answer since the last answer.
--- a/storage_gateway/policy_state/node_table.py
+++ b/storage_gateway/policy_state/node_table.py
@@ -14,7 +14,7 @@
 
 
 class NodeTable:
-    """Nodes by id and by shard.
+    """Nodes by id and by shard; ``PolicyState`` owns it.
 
     Attributes:
         by_id: all nodes known.
--- a/storage_gateway/policy_state/request_table.py
+++ b/storage_gateway/policy_state/request_table.py
@@ -7,7 +7,7 @@
 
 
 class RequestTable:
-    """Requests by id, by shard and by key.
+    """Requests by id, by shard and by key; ``PolicyState`` owns it.
 
     Attributes:
         by_id: all that are owed an answer or have attempts in flight.
--- a/storage_gateway/policy_state/volume_table.py
+++ b/storage_gateway/policy_state/volume_table.py
@@ -15,7 +15,7 @@
 
 
 class VolumeTable:
-    """Volumes by id."""
+    """Volumes by id; ``PolicyState`` owns it."""
 
     def __init__(self, settings: Settings) -> None:
         self.by_id: dict[int, Volume] = {}
