Keep the tests' builders in one package, and await the watches at the shutdown

Two builder modules stood beside the tests that use them, support modules re-exported each other's names, and two scripts of nodes stood twice. The end of the endpoint watches was left to the event loop; their owner awaits it now. The test of pipelined requests depended on how late the loop runs (it failed once on a loaded machine, when a step took 0.6 s): its request now stays at the node for as long as the test needs.

--- a/storage_gateway/service.py
+++ b/storage_gateway/service.py
@@ -137,6 +137,7 @@
             log.warning("shutdown_timed_out", pending=len(self._executor.pending))
         self._discovery.stop()
         self._node_client.close()
+        await self._discovery.closed()
         log.info("gateway_stopped")
 
     async def _start_sftp_service(self) -> SftpService | None:
--- a/tests/config/test_reader.py
+++ b/tests/config/test_reader.py
@@ -13,8 +13,17 @@
 from storage_gateway.config import Address, read_configuration
 from storage_gateway.errors import ConfigurationError
 from storage_gateway.policy import Policy
-from tests.config.builders import ABSENT, CLASS, EXTRA, LIMITS, PLAN, Keys, make_file_values, read_changed
-from tests.support.peers import SETTINGS
+from tests.support.configuration import SETTINGS
+from tests.support.configuration_files import (
+    ABSENT,
+    CLASS,
+    EXTRA,
+    LIMITS,
+    PLAN,
+    Keys,
+    make_file_values,
+    read_changed,
+)
 
 
 class ReadConfigurationTest(unittest.TestCase):
--- a/tests/config/test_schema.py
+++ b/tests/config/test_schema.py
@@ -6,7 +6,7 @@
 import unittest
 
 from storage_gateway.config import Address, ConnectionBudget, ReloadResult
-from tests.support.peers import make_config, make_two_class_settings
+from tests.support.configuration import make_config, make_two_class_settings
 
 
 class ConnectionBudgetTest(unittest.TestCase):
--- a/tests/config/test_settings.py
+++ b/tests/config/test_settings.py
@@ -10,8 +10,8 @@
 
 from storage_gateway.config import read_settings
 from storage_gateway.errors import ConfigurationError
-from tests.config.builders import ABSENT, CLASS, EXTRA, LIMITS, PLAN, SAFETY, Keys, read_changed
-from tests.support.peers import SETTINGS
+from tests.support.configuration import SETTINGS
+from tests.support.configuration_files import ABSENT, CLASS, EXTRA, LIMITS, PLAN, SAFETY, Keys, read_changed
 
 
 @pytest.mark.parametrize(
--- a/tests/endpoints/test_discovery.py
+++ b/tests/endpoints/test_discovery.py
@@ -13,15 +13,15 @@
 from storage_gateway.endpoints.discovery import DiscoveryClient
 from storage_gateway.endpoints.registry import EndpointRegistry
 from storage_gateway.policy_api import EndpointState
-from tests.endpoints.scripted_discovery import (
+from tests.support.endpoints import apply_endpoints, discovery_entry, make_endpoint
+from tests.support.failing_discovery import (
     ScriptedDiscovery,
     make_chunk,
     no_response,
     snapshot,
     wait_until,
 )
-from tests.support.peers import FakeDiscovery, apply_endpoints, make_endpoint
-from tests.support.process import discovery_entry
+from tests.support.peers import FakeDiscovery
 
 NOWHERE = Address("127.0.0.1", 1)
 
--- a/tests/endpoints/test_registry.py
+++ b/tests/endpoints/test_registry.py
@@ -8,7 +8,7 @@
 from storage_gateway.endpoints import registry as registry_module
 from storage_gateway.endpoints.registry import EndpointRegistry
 from storage_gateway.policy_api import EndpointState
-from tests.support.peers import apply_endpoints, make_endpoint
+from tests.support.endpoints import apply_endpoints, make_endpoint
 
 
 class EndpointRegistryTest(unittest.TestCase):
--- a/tests/endpoints/test_watch.py
+++ b/tests/endpoints/test_watch.py
@@ -12,7 +12,7 @@
 from storage_gateway.endpoints import watch as watch_module
 from storage_gateway.endpoints.discovery import DiscoveryClient
 from storage_gateway.endpoints.registry import EndpointRegistry
-from tests.endpoints.scripted_discovery import (
+from tests.support.failing_discovery import (
     BusyDiscovery,
     Reply,
     ScriptedDiscovery,
--- a/tests/http/test_attempt_deadline.py
+++ b/tests/http/test_attempt_deadline.py
@@ -8,7 +8,8 @@
 
 from storage_gateway import policy_api as api
 from storage_gateway.lifecycle import AttemptResult
-from tests.support.http import HttpServerCase, respond_at_once
+from tests.support.http import HttpServerCase
+from tests.support.peers import respond_at_once
 
 
 class AttemptDeadlineTest(HttpServerCase):
--- a/tests/http/test_client_connection.py
+++ b/tests/http/test_client_connection.py
@@ -11,8 +11,8 @@
 
 from storage_gateway.http import client_connection
 from storage_gateway.http import server as server_module
-from tests.support.http import HttpServerCase, encode_request, never_respond, respond_at_once
-from tests.support.peers import make_response
+from tests.support.http import HttpServerCase, encode_request
+from tests.support.peers import make_response, never_respond, respond_at_once
 
 
 class IncompleteRequestTest(HttpServerCase):
--- a/tests/http/test_client_disconnect.py
+++ b/tests/http/test_client_disconnect.py
@@ -11,8 +11,8 @@
 
 from storage_gateway import policy_api as api
 from storage_gateway.http.sockets import peer_has_closed
-from tests.support.http import HttpServerCase, encode_request, respond_at_once
-from tests.support.peers import make_response
+from tests.support.http import HttpServerCase, encode_request
+from tests.support.peers import make_response, respond_at_once
 
 
 def reset_connection(client: socket.socket) -> None:
--- a/tests/http/test_connection_tracker.py
+++ b/tests/http/test_connection_tracker.py
@@ -5,7 +5,8 @@
 from unittest import mock
 
 from storage_gateway.http import connection_tracker
-from tests.support.http import HttpServerCase, encode_request, respond_at_once
+from tests.support.http import HttpServerCase, encode_request
+from tests.support.peers import respond_at_once
 
 
 class ConnectionTrackerTest(HttpServerCase):
--- a/tests/http/test_node_client.py
+++ b/tests/http/test_node_client.py
@@ -7,8 +7,9 @@
 from storage_gateway import policy_api as api
 from storage_gateway.lifecycle import AttemptResult
 from storage_gateway.policy_api import AttemptOutcome, EndpointState
-from tests.support.http import NODE, HttpServerCase, make_client_request, respond_at_once
-from tests.support.peers import apply_endpoints, make_endpoint
+from tests.support.endpoints import apply_endpoints, make_endpoint
+from tests.support.http import NODE, HttpServerCase, make_client_request
+from tests.support.peers import respond_at_once
 
 
 class NodeClientTest(HttpServerCase):
--- a/tests/http/test_request_codec.py
+++ b/tests/http/test_request_codec.py
@@ -8,15 +8,9 @@
 from storage_gateway.config import Address
 from storage_gateway.errors import ProtocolError
 from storage_gateway.http.request_codec import decode_request, encode_attempt
-from tests.support.http import (
-    HEADERS,
-    TARGET,
-    HttpServerCase,
-    encode_request,
-    make_client_request,
-    never_respond,
-)
-from tests.support.peers import make_config
+from tests.support.configuration import make_config
+from tests.support.http import HEADERS, TARGET, HttpServerCase, encode_request, make_client_request
+from tests.support.peers import never_respond
 
 
 class RequestCodecTest(HttpServerCase):
@@ -67,7 +61,11 @@
             writer.close()
         assert self.node.accepted == 0
 
-        reader, writer = await self.open_stream(encode_request("late"))
+        # However late the loop runs, the request stays at the node until the next one has been read.
+        self.server.config.client_timeouts_s[0] = 60.0
+        self.executor.policy.settings.can_cancel = False
+        late = encode_request("late", changes={"X-Expires-In-Ms": "60000"})
+        reader, writer = await self.open_stream(late)
         await self.wait_until(lambda: self.node.counts["late"])
         writer.write(hidden)  # behind a request that is already at the node
         assert await reader.read() == b""
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -6,8 +6,9 @@
 from unittest import mock
 
 from storage_gateway.policy_api import EndpointState
-from tests.support.http import NODE, TARGET, HttpServerCase, never_respond, respond_at_once
-from tests.support.peers import apply_endpoints, make_endpoint, make_response
+from tests.support.endpoints import apply_endpoints, make_endpoint
+from tests.support.http import NODE, TARGET, HttpServerCase
+from tests.support.peers import make_response, never_respond, respond_at_once
 
 
 class HttpServerTest(HttpServerCase):
--- a/tests/http/test_shutdown.py
+++ b/tests/http/test_shutdown.py
@@ -6,7 +6,8 @@
 from unittest import mock
 
 from storage_gateway.lifecycle import ATTEMPT_MARGIN_S
-from tests.support.http import HttpServerCase, encode_request, never_respond, respond_at_once
+from tests.support.http import HttpServerCase, encode_request
+from tests.support.peers import never_respond, respond_at_once
 
 
 class ShutdownTest(HttpServerCase):
--- a/tests/policy/test_memory.py
+++ b/tests/policy/test_memory.py
@@ -6,7 +6,7 @@
 
 from storage_gateway import policy_api as api
 from storage_gateway.policy import Policy
-from tests.support.peers import make_config
+from tests.support.configuration import make_config
 
 
 class MemoryTest(unittest.TestCase):
--- a/tests/sftp/test_node_client.py
+++ b/tests/sftp/test_node_client.py
@@ -4,7 +4,7 @@
 
 from storage_gateway.policy_api import EndpointState
 from storage_gateway.sftp.fields import StatusCode
-from tests.support.peers import apply_endpoints, make_endpoint
+from tests.support.endpoints import apply_endpoints, make_endpoint
 from tests.support.sftp import FakeSftpNode, SftpServerCase, assert_status
 
 
--- a/tests/support/configuration_files.py
+++ b/tests/support/configuration_files.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from storage_gateway.config import GatewayConfig, read_configuration
-from tests.support.peers import SETTINGS
+from tests.support.configuration import SETTINGS
 
 ABSENT = object()
 
--- a/tests/support/http.py
+++ b/tests/support/http.py
@@ -19,7 +19,9 @@
 from storage_gateway.http.request_codec import ClientRequest
 from storage_gateway.http.server import HttpServer
 from storage_gateway.lifecycle import RequestExecutor
-from tests.support.peers import FakeHttpNode, apply_endpoints, make_config, make_endpoint, make_response
+from tests.support.configuration import make_config
+from tests.support.endpoints import apply_endpoints, make_endpoint
+from tests.support.peers import FakeHttpNode
 
 HEADERS = {
     "X-Qos": "tile-read",
@@ -73,17 +75,6 @@
     return "\r\n".join([*lines, "", ""]).encode()
 
 
-async def respond_at_once(trace_id: str) -> bytes:
-    """Script of a node that serves every request."""
-    return make_response()
-
-
-async def never_respond(trace_id: str) -> bytes:
-    """Script of a node that takes requests and sends nothing back."""
-    await asyncio.Event().wait()
-    raise AssertionError
-
-
 class HttpServerCase(unittest.IsolatedAsyncioTestCase):
     """A test with a server, its executor and node client, and one node."""
 
--- a/tests/support/peers.py
+++ b/tests/support/peers.py
@@ -8,23 +8,6 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, Self
 
-from tests.support.configuration import SETTINGS, make_config, make_two_class_settings
-from tests.support.endpoints import apply_endpoints, make_endpoint
-
-__all__ = [
-    "SETTINGS",
-    "FakeDiscovery",
-    "FakeHttpNode",
-    "FakePeer",
-    "apply_endpoints",
-    "make_config",
-    "make_endpoint",
-    "make_response",
-    "make_two_class_settings",
-    "never_respond",
-    "respond_at_once",
-]
-
 REQUEST_TIMEOUT_S = 10.0  # for a request that a test waits for
 
 Script = Callable[[str], Awaitable[bytes | None]]
--- a/tests/support/process.py
+++ b/tests/support/process.py
@@ -15,13 +15,10 @@
 import aiohttp
 
 from tests.support.configuration import SETTINGS
-from tests.support.endpoints import discovery_entry
 from tests.support.http import HEADERS, TARGET
 from tests.support.peers import FakeDiscovery, FakeHttpNode, Script
 from tests.support.project import ROOT
 
-__all__ = ["GatewayProcessCase", "discovery_entry"]
-
 LOG_TIMEOUT_S = 10.0
 
 
--- a/tests/support/sftp.py
+++ b/tests/support/sftp.py
@@ -18,7 +18,9 @@
 from storage_gateway.sftp.fields import DirectoryEntry, FileAttributes, OpenFlags, StatusCode
 from storage_gateway.sftp.node_client import SftpNodeClient
 from storage_gateway.sftp.server import SftpServer
-from tests.support.peers import FakePeer, apply_endpoints, make_endpoint, make_two_class_settings
+from tests.support.configuration import make_two_class_settings
+from tests.support.endpoints import apply_endpoints, make_endpoint
+from tests.support.peers import FakePeer
 from tests.support.policy import make_plan
 
 NO_ATTRIBUTES = FileAttributes()
