--- a/tests/policy/test_admission.py
+++ b/tests/policy/test_admission.py
@@ -73,9 +73,9 @@
 def test_a_rejection_for_want_of_a_slot_says_when_one_is_free() -> None:
     driver = PolicyDriver(make_settings(gateway_count=8, max_retry_after_s=0.8), [make_endpoint_entry(1, 1)])
     driver.step(*[driver.arrival(name, gateway_count=8) for name in ("first", "second", "waits")])
-    (refusal,) = [one for one in driver.run_until(driver.now + 0.52) if isinstance(one, api.RejectRequest)]
-    assert refusal.request_id == "waits"
-    assert 0.0 < refusal.retry_after_s <= 0.8
+    (rejection,) = [one for one in driver.run_until(driver.now + 0.52) if isinstance(one, api.RejectRequest)]
+    assert rejection.request_id == "waits"
+    assert 0.0 < rejection.retry_after_s <= 0.8
 
 
 def test_what_is_beyond_the_reservation_waits_for_its_part_of_the_excess_rate() -> None:
@@ -85,7 +85,7 @@
     node = driver.nodes[1]
     node.excess_rate = 0.5  # units a second, and no more than a second of it at once
     driver.step(*[driver.arrival(f"r{number}", units=5.0, deadline=driver.now + 20) for number in range(4)])
-    assert driver.sent() == ["r0", "r1", "r2"]  # two in the reserve, one on the first credit
+    assert driver.sent() == ["r0", "r1", "r2"]  # two in the reservation, one on the first tokens
     for name in ("r0", "r1", "r2"):
         driver.end_attempt(name, api.AttemptOutcome.SERVED)
     driver.submit("reserved", volume_id=2)
@@ -122,10 +122,10 @@
 
 def test_what_earns_less_pays_more_of_the_excess_rate() -> None:
     paid = []
-    for worth in (4.0, 1.0):
+    for weight in (4.0, 1.0):
         driver = PolicyDriver(
             make_settings(
-                [make_request_class(priority_weight=worth), make_request_class(priority_weight=4.0)]
+                [make_request_class(priority_weight=weight), make_request_class(priority_weight=4.0)]
             ),
             [make_endpoint_entry(1, 1)],
         )
@@ -150,14 +150,16 @@
 
 
 def test_many_instances_together_send_no_more_at_the_least_excess_rate_than_one() -> None:
-    def sends(hosts: int) -> float:
+    def sends(gateway_count: int) -> float:
         driver = PolicyDriver(
-            make_settings(plans=[make_plan(reserved_rate=0.0, expected_rate=2.0)], gateway_count=hosts),
+            make_settings(
+                plans=[make_plan(reserved_rate=0.0, expected_rate=2.0)], gateway_count=gateway_count
+            ),
             [make_endpoint_entry(1, 1)],
         )
         driver.nodes[1].concurrency_limit, driver.nodes[1].unit_time_s = 8.0, 0.02
         for number in range(100):
-            driver.submit(f"r{number}", gateway_count=hosts)
+            driver.submit(f"r{number}", gateway_count=gateway_count)
             driver.run_until(driver.now + 0.2)
             driver.end_all_attempts(0.6)  # over the objective: the rate stays at its least
         return len(driver.sent())
@@ -175,14 +177,14 @@
             driver.policy.state.nodes.headroom = 1.0
             driver.submit(f"r{number}", shard=-1, units=2.0)
             driver.run_until(driver.now + 0.2)
-            for name in [name for name, held in driver.requests.items() if held.in_flight]:
+            for name in [name for name, request in driver.requests.items() if request.in_flight]:
                 driver.end_attempt(name, api.AttemptOutcome.SERVED, node=1, elapsed_s=0.05)
         return len(driver.sent())
 
     assert sends(8) <= sends(1) + 8
     driver = PolicyDriver(make_settings(), [make_endpoint_entry(1, 1)])
     driver.nodes[1].queueing_delay_s = 0.6
-    assert driver.submit("held here", shard=1) == [api.SendAttempt("held here", 1)]
+    assert driver.submit("in time here", shard=1) == [api.SendAttempt("in time here", 1)]
     assert driver.submit("late", shard=-1) == []
     assert api.RejectRequest("late") in driver.run_until(driver.now + 0.52)
 
@@ -199,7 +201,7 @@
     again = driver.requests["again"]
     assert again.objective_at == pytest.approx(driver.now + 0.3)
     filled = level + 4.0 * 0.2
-    assert driver.volumes[1].reservation.level == pytest.approx(filled), "the reserve is drawn once"
+    assert driver.volumes[1].reservation.level == pytest.approx(filled), "the reservation is drawn once"
     assert again.volume.reserved_units[int(again.arrived_at)] == pytest.approx(0.0)
     assert again.reserved_units == pytest.approx(4.0)
     driver.end_attempt("again", api.AttemptOutcome.SERVED)
--- a/tests/policy/test_concurrency.py
+++ b/tests/policy/test_concurrency.py
@@ -122,7 +122,7 @@
 
 def test_leaving_and_joining_nodes_change_the_total_and_the_split() -> None:
     driver = PolicyDriver(make_settings(), [make_endpoint_entry(1, 1), make_endpoint_entry(2, 2)])
-    assert total(driver) == 8.0  # the default of eight a node, halved between two hosts
+    assert total(driver) == 8.0  # the default of eight a node, halved between two instances
     driver.step(
         api.EndpointsChanged(
             api.EndpointUpdateKind.DELTA, [make_endpoint_entry(2, 2, api.EndpointState.REMOVED)]
--- a/tests/policy/test_node_health.py
+++ b/tests/policy/test_node_health.py
@@ -20,7 +20,7 @@
             driver.now += 1.0
             node.excess_rate = 1e6
             driver.step(*[driver.arrival(f"{spent}-{number}-{extra}") for extra in range(8)])
-            for request in [name for name, held in driver.requests.items() if held.in_flight]:
+            for request in [name for name, request in driver.requests.items() if request.in_flight]:
                 driver.end_attempt(request, api.AttemptOutcome.SERVED, elapsed_s=spent)
         assert node.concurrency_limit == limit
 
@@ -55,17 +55,20 @@
 
 def test_an_instance_of_many_nodes_learns_its_excess_rate_from_all_of_them() -> None:
     def wait(seconds_each: float) -> float:
-        """How long a volume waits for its second go at a node that this driver has never heard of."""
-        cells = range(1, 61)
+        """Return how long a volume waits to send again to a node that has never answered this instance."""
+        shards = range(1, 61)
         driver = PolicyDriver(
             make_settings(plans=[make_plan(reserved_rate=0.0)], gateway_count=40),
-            [make_endpoint_entry(cell, cell) for cell in cells],
+            [make_endpoint_entry(shard, shard) for shard in shards],
         )
-        for cell in cells[:-1]:  # each node answers once: a tenth of a second of this driver's life each
-            driver.submit(f"r{cell}", shard=cell, volume_id=cell)
+        for shard in shards[:-1]:  # each node answers once: a tenth of a second of this instance's life each
+            driver.submit(f"r{shard}", shard=shard, volume_id=shard)
             driver.run_until(driver.now + 0.1)
             driver.end_attempt(
-                f"r{cell}", api.AttemptOutcome.SERVED, node=cell, elapsed_s=seconds_each if cell > 1 else 0.02
+                f"r{shard}",
+                api.AttemptOutcome.SERVED,
+                node=shard,
+                elapsed_s=seconds_each if shard > 1 else 0.02,
             )
         driver.submit("first", shard=60, units=2000.0)
         request, node = driver.requests["first"], driver.nodes[60]
--- a/tests/policy/test_random_events.py
+++ b/tests/policy/test_random_events.py
@@ -50,7 +50,7 @@
     """Plays clients, nodes and discovery, and keeps its own books of what the rules allow."""
 
     def __init__(self, seed: int) -> None:
-        self.dice = random.Random(seed)
+        self.rng = random.Random(seed)
         config = make_settings(CLASSES, PLANS, SAFETY, must_watch_endpoints=True, gateway_count=2)
         self.driver = PolicyDriver(
             config, [make_endpoint_entry(shard, shard) for shard in range(SHARDS)], now=50.0
@@ -59,176 +59,187 @@
         self.config = config
         self.state = dict.fromkeys(range(SHARDS), EndpointState.SERVING)
         self.started_at = dict.fromkeys(range(SHARDS), 0.0)
-        self.asked: dict[str, api.RequestArrived] = {}
-        self.owed: set[str] = set()
-        self.answered: set[str] = set()
+        self.arrivals: dict[str, api.RequestArrived] = {}
+        self.unanswered: set[str] = set()
         self.in_flight: dict[str, tuple[int, int, float, float]] = {}  # attempt, node, sent, ends
-        self.sends: dict[str, int] = defaultdict(int)
-        self.ran: dict[str, tuple[float, int]] = {}
-        self.line: dict[int, list[str]] = defaultdict(list)
-        self.rest: dict[int, float] = defaultdict(float)
-        self.taken: list[float] = []
-        self.extras: list[float] = []
-        self.to_node: dict[int, list[tuple[float, float]]] = defaultdict(list)
-        self.drawn: dict[int, list[tuple[float, float]]] = defaultdict(list)
+        self.attempt_counts: dict[str, int] = defaultdict(int)
+        self.possible_executions: dict[str, tuple[float, int]] = {}
+        self.key_queues: dict[int, list[str]] = defaultdict(list)
+        self.key_ready_at: dict[int, float] = defaultdict(float)
+        self.accepted_at: list[float] = []
+        self.retried_at: list[float] = []
+        self.sent_to_node: dict[int, list[tuple[float, float]]] = defaultdict(list)
+        self.limit_draws: dict[int, list[tuple[float, float]]] = defaultdict(list)
         self.unit_time_s = math.inf  # the least that the driver has taken a unit's service for
 
     def kind(self, name: str) -> api.RequestClass:
-        return CLASSES[self.asked[name].class_index]
+        return CLASSES[self.arrivals[name].class_index]
 
     def arrive(self) -> api.Event:
-        now, dice = self.driver.now, self.dice
-        volume = dice.randrange(6)
+        now, rng = self.driver.now, self.rng
+        volume = rng.randrange(6)
         event = self.driver.arrival(
-            f"q{len(self.asked)}",
-            class_index=dice.randrange(len(CLASSES)),
+            f"q{len(self.arrivals)}",
+            class_index=rng.randrange(len(CLASSES)),
             plan_index=volume % 2,
             volume_id=volume,
-            object_key=dice.randrange(4) if dice.random() < 0.8 else None,
-            shard=dice.choice([-1, 0, 1, 2]),
-            units=float(dice.randint(1, 6)),
-            deadline=now + dice.choice([0.0, 0.01, 0.5, 2.0]),
+            object_key=rng.randrange(4) if rng.random() < 0.8 else None,
+            shard=rng.choice([-1, 0, 1, 2]),
+            units=float(rng.randint(1, 6)),
+            deadline=now + rng.choice([0.0, 0.01, 0.5, 2.0]),
             gateway_count=2,
         )
-        self.asked[event.request_id] = event
-        self.owed.add(event.request_id)
-        self.taken.append(now)
+        self.arrivals[event.request_id] = event
+        self.unanswered.add(event.request_id)
+        self.accepted_at.append(now)
         if self.kind(event.request_id).ordered_by_key and event.object_key is not None:
-            self.line[event.object_key].append(event.request_id)
+            self.key_queues[event.object_key].append(event.request_id)
         return event
 
     def finish(self, name: str, outcome: AttemptOutcome) -> api.Event:
         attempt, node, sent, _ = self.in_flight.pop(name)
         if outcome not in NEVER_EXECUTED and outcome is not AttemptOutcome.SERVED:
-            self.ran.setdefault(name, (sent, node))
+            self.possible_executions.setdefault(name, (sent, node))
         if outcome is AttemptOutcome.SERVED:
-            self.owed.discard(name)
-        item = self.asked[name].object_key
+            self.unanswered.discard(name)
+        key = self.arrivals[name].object_key
         unsure = outcome in (
             AttemptOutcome.TIMEOUT,
             AttemptOutcome.CONNECTION_RESET,
             AttemptOutcome.CANCELLED,
         )
-        if unsure and self.kind(name).ordered_by_key and item is not None:
-            self.rest[item] = self.driver.now + self.safety.key_cooldown_s
-        self.leave_line(name)
-        return api.AttemptEnded(name, attempt, node, outcome, self.driver.now - sent, name not in self.owed)
+        if unsure and self.kind(name).ordered_by_key and key is not None:
+            self.key_ready_at[key] = self.driver.now + self.safety.key_cooldown_s
+        self.leave_key_queue(name)
+        return api.AttemptEnded(
+            name, attempt, node, outcome, self.driver.now - sent, name not in self.unanswered
+        )
 
-    def leave_line(self, name: str) -> None:
-        item = self.asked[name].object_key
-        over = name not in self.owed and name not in self.in_flight
-        if over and item is not None and name in self.line[item]:
-            self.line[item].remove(name)
+    def leave_key_queue(self, name: str) -> None:
+        key = self.arrivals[name].object_key
+        over = name not in self.unanswered and name not in self.in_flight
+        if over and key is not None and name in self.key_queues[key]:
+            self.key_queues[key].remove(name)
 
-    def news(self) -> api.Event:
-        if self.dice.random() < 0.2:
+    def change_endpoints(self) -> api.Event:
+        if self.rng.random() < 0.2:
             return api.EndpointsChanged(api.EndpointUpdateKind.UNAVAILABLE, [])
-        shard = self.dice.randrange(SHARDS)
+        shard = self.rng.randrange(SHARDS)
         if self.state[shard] is EndpointState.SERVING:
-            self.state[shard] = self.dice.choice([EndpointState.DRAINING, EndpointState.REMOVED])
+            self.state[shard] = self.rng.choice([EndpointState.DRAINING, EndpointState.REMOVED])
         else:
             self.state[shard] = EndpointState.SERVING
-            self.started_at[shard] = self.driver.now - self.dice.choice([0.0, 5.0, 50.0])
-            self.to_node[shard].clear()
+            self.started_at[shard] = self.driver.now - self.rng.choice([0.0, 5.0, 50.0])
+            self.sent_to_node[shard].clear()
         changed = make_endpoint_entry(shard, shard, self.state[shard], self.started_at[shard])
         return api.EndpointsChanged(api.EndpointUpdateKind.DELTA, [changed])
 
     def step(self) -> None:
-        driver, dice = self.driver, self.dice
-        driver.now += dice.choice([0.0, 0.005, 0.02, 0.02])
+        driver, rng = self.driver, self.rng
+        driver.now += rng.choice([0.0, 0.005, 0.02, 0.02])
         events: list[api.Event] = [api.TimerFired(0)]
-        if dice.random() < 0.05:
-            events.append(self.news())
+        if rng.random() < 0.05:
+            events.append(self.change_endpoints())
         for name, (_, _, _, ends) in list(self.in_flight.items()):
-            if driver.now >= self.asked[name].deadline:
+            if driver.now >= self.arrivals[name].deadline:
                 events.append(self.finish(name, AttemptOutcome.TIMEOUT))
             elif driver.now >= ends:
-                bad = dice.random() < 0.4
+                bad = rng.random() < 0.4
                 events.append(
-                    self.finish(name, dice.choice(list(AttemptOutcome)) if bad else AttemptOutcome.SERVED)
+                    self.finish(name, rng.choice(list(AttemptOutcome)) if bad else AttemptOutcome.SERVED)
                 )
         ended = {event.request_id for event in events if isinstance(event, api.AttemptEnded)}
-        if (there := sorted(self.owed - ended)) and dice.random() < 0.03:
-            name = dice.choice(there)
-            self.owed.discard(name)
-            self.leave_line(name)
+        if (there := sorted(self.unanswered - ended)) and rng.random() < 0.03:
+            name = rng.choice(there)
+            self.unanswered.discard(name)
+            self.leave_key_queue(name)
             events.append(api.ClientCancelled(name))
-        events += [self.arrive() for _ in range(dice.choice([0, 0, 1, 3]))]
+        events += [self.arrive() for _ in range(rng.choice([0, 0, 1, 3]))]
+        checker = RuleChecker(self)
         for action in driver.step(*events):
-            self.check(action)
+            checker.check(action)
         late = [
             name
-            for name in self.owed
-            if self.asked[name].deadline < driver.now and name not in self.in_flight
+            for name in self.unanswered
+            if self.arrivals[name].deadline < driver.now and name not in self.in_flight
         ]
         assert not late, f"no final answer in time: {late}"
 
+
+class RuleChecker:
+    """Checks each action of the policy against what the world has seen."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+
     def check(self, action: api.Action) -> None:
-        now = self.driver.now
+        now = self.world.driver.now
         if isinstance(action, api.SendAttempt):
             self.check_send(action.request_id, action.node, now)
         elif isinstance(action, api.RejectRequest | api.FailRequest):
             name = action.request_id
-            assert name in self.owed, "one final answer"
-            assert name not in self.in_flight, "one final answer"
-            if isinstance(action, api.RejectRequest) and name in self.ran:
-                kind = self.kind(name)
+            assert name in self.world.unanswered, "one final answer"
+            assert name not in self.world.in_flight, "one final answer"
+            if isinstance(action, api.RejectRequest) and name in self.world.possible_executions:
+                kind = self.world.kind(name)
                 assert kind.repeatability is Repeatability.REPEATABLE or (
                     kind.repeatability is Repeatability.IDEMPOTENT_WITH_KEY
                     and kind.idempotency_scope is IdempotencyScope.ALL
                 )
-            self.owed.discard(name)
-            self.leave_line(name)
+            self.world.unanswered.discard(name)
+            self.world.leave_key_queue(name)
 
     def check_send(self, name: str, node: int, now: float) -> None:
-        arrival, kind = self.asked[name], self.kind(name)
-        self.unit_time_s = min(self.unit_time_s, self.driver.policy.state.nodes.unit_time_s or math.inf)
-        assert name in self.owed, "the request is over"
-        assert name not in self.in_flight, "two attempts at once"
-        assert self.sends[name] < self.config.max_attempts
+        arrival, kind = self.world.arrivals[name], self.world.kind(name)
+        self.world.unit_time_s = min(
+            self.world.unit_time_s, self.world.driver.policy.state.nodes.unit_time_s or math.inf
+        )
+        assert name in self.world.unanswered, "the request is over"
+        assert name not in self.world.in_flight, "two attempts at once"
+        assert self.world.attempt_counts[name] < self.world.config.max_attempts
         assert arrival.shard in (-1, node), "another shard"
-        assert self.state[node] is EndpointState.SERVING, "drains"
+        assert self.world.state[node] is EndpointState.SERVING, "drains"
         self.check_effect(name, node, now)
         if kind.ordered_by_key and arrival.object_key is not None:
-            assert self.line[arrival.object_key][0] == name, "order by key"
-            assert now >= self.rest[arrival.object_key], "order by key"
-        if self.sends[name]:
+            assert self.world.key_queues[arrival.object_key][0] == name, "order by key"
+            assert now >= self.world.key_ready_at[arrival.object_key], "order by key"
+        if self.world.attempt_counts[name]:
             self.check_retry_budget(now)
         else:
             self.check_rate_limit(arrival, now)
-        self.to_node[node].append((now, arrival.units))
+        self.world.sent_to_node[node].append((now, arrival.units))
         self.check_slow_start(node, now)
-        ends = now + self.dice.choice([0.01, 0.05, 0.2, 1.0, 9.0])
-        self.in_flight[name] = (self.sends[name], node, now, ends)
-        self.sends[name] += 1
+        ends = now + self.world.rng.choice([0.01, 0.05, 0.2, 1.0, 9.0])
+        self.world.in_flight[name] = (self.world.attempt_counts[name], node, now, ends)
+        self.world.attempt_counts[name] += 1
 
     def check_effect(self, name: str, node: int, now: float) -> None:
-        if name not in self.ran:
+        if name not in self.world.possible_executions:
             return
-        kind = self.kind(name)
-        sent, home = self.ran[name]
+        kind = self.world.kind(name)
+        sent, first_node = self.world.possible_executions[name]
         assert kind.repeatability is not Repeatability.NON_IDEMPOTENT, "doubled effect"
         if kind.repeatability is Repeatability.IDEMPOTENT_WITH_KEY:
             assert now <= sent + kind.idempotency_window_s
-            assert kind.idempotency_scope is IdempotencyScope.ALL or node == home
+            assert kind.idempotency_scope is IdempotencyScope.ALL or node == first_node
 
     def check_retry_budget(self, now: float) -> None:
-        window = self.safety.retry_budget_window_s
-        base = self.safety.retry_budget_base
-        ratio = self.safety.retry_budget_ratio
+        window = self.world.safety.retry_budget_window_s
+        base = self.world.safety.retry_budget_base
+        ratio = self.world.safety.retry_budget_ratio
         assert window is not None
         assert base is not None
         assert ratio is not None
-        self.extras.append(now)
-        recent = sum(time > now - window for time in self.taken)
-        used = sum(time > now - window for time in self.extras)
+        self.world.retried_at.append(now)
+        recent = sum(time > now - window for time in self.world.accepted_at)
+        used = sum(time > now - window for time in self.world.retried_at)
         assert used <= base + ratio * recent, "retry budget"
 
     def check_rate_limit(self, arrival: api.RequestArrived, now: float) -> None:
         limited = PLANS[arrival.plan_index]
         if not limited.rate_limit:
             return
-        draws = self.drawn[arrival.volume_id]
+        draws = self.world.limit_draws[arrival.volume_id]
         draws.append((now, arrival.units))
         for index, (start, _) in enumerate(draws):
             drawn = sum(units for _, units in draws[index:])
@@ -236,15 +247,15 @@
             assert drawn <= allowed + 1e-6, "rate limit"
 
     def check_slow_start(self, node: int, now: float) -> None:
-        safety = self.safety
-        if not self.started_at[node] or now - self.started_at[node] >= safety.slow_start_window_s:
+        safety = self.world.safety
+        if not self.world.started_at[node] or now - self.world.started_at[node] >= safety.slow_start_window_s:
             return
         window = safety.overload_window_s
-        sent = sum(units for time, units in self.to_node[node] if time > now - window)
-        usual = self.driver.policy.state.nodes.shard_rates.get(node, 0.0) * safety.overload_multiple
-        cores = 2 * safety.overload_multiple / self.unit_time_s * window
-        even = max(self.config.slow_start_units, cores) / self.config.gateway_count
-        own = max(even, usual * window) + self.config.max_request_units
+        sent = sum(units for time, units in self.world.sent_to_node[node] if time > now - window)
+        usual = self.world.driver.policy.state.nodes.shard_rates.get(node, 0.0) * safety.overload_multiple
+        cores = 2 * safety.overload_multiple / self.world.unit_time_s * window
+        even = max(self.world.config.slow_start_units, cores) / self.world.config.gateway_count
+        own = max(even, usual * window) + self.world.config.max_request_units
         assert sent <= own + 1e-6, "slow start"
 
 
@@ -254,7 +265,7 @@
     world = World(seed)
     for _ in range(400):
         world.step()
-    assert world.sends, "the sequence sent something"
+    assert world.attempt_counts, "the sequence sent something"
 
 
 def test_same_events_same_actions() -> None:
--- a/tests/policy/test_scheduling.py
+++ b/tests/policy/test_scheduling.py
@@ -73,12 +73,12 @@
     )
     assert driver.nodes[1].concurrency_limit == 1.0
     driver.step(driver.arrival("long", volume_id=1), driver.arrival("more", volume_id=2))
-    assert driver.sent() == ["long"], "beyond the reserve the limit holds"
+    assert driver.sent() == ["long"], "beyond the reservation the limit holds"
     driver.step(
-        driver.arrival("due", volume_id=3, plan_index=1),
+        driver.arrival("reserved", volume_id=3, plan_index=1),
         driver.arrival("too many", volume_id=4, plan_index=1),
     )
-    assert driver.sent() == ["long", "due"]
+    assert driver.sent() == ["long", "reserved"]
 
 
 def test_what_could_not_be_answered_in_its_client_s_time_is_rejected_unsent() -> None:
--- a/tests/policy/test_slow_start.py
+++ b/tests/policy/test_slow_start.py
@@ -120,7 +120,7 @@
 
 
 def test_what_is_inside_its_reservation_has_the_warming_node_s_part_first() -> None:
-    sent = {1: 0, 2: 0}  # by volume: one inside its reserve, one beyond any
+    sent = {1: 0, 2: 0}  # by volume: one inside its reservation, one beyond any
     for seed in range(40):
         plans = [
             make_plan(reserved_rate=100.0, expected_rate=800.0),
--- a/tests/support/policy.py
+++ b/tests/support/policy.py
@@ -71,9 +71,9 @@
 
 
 def make_endpoint_entry(
-    node: int, cell: int, state: api.EndpointState = api.EndpointState.SERVING, started_at: float = 0.0
+    node: int, shard: int, state: api.EndpointState = api.EndpointState.SERVING, started_at: float = 0.0
 ) -> api.EndpointEntry:
-    return api.EndpointEntry(node=node, shard=cell, zone=cell % 2, state=state, started_at=started_at)
+    return api.EndpointEntry(node=node, shard=shard, zone=shard % 2, state=state, started_at=started_at)
 
 
 class PolicyDriver:
