--- a/storage_gateway/http/listener.py
+++ b/storage_gateway/http/listener.py
@@ -61,6 +61,11 @@
         self.loop.remove_reader(self.socket)
         self.socket.close()
 
+    async def closed(self) -> None:
+        """Wait, after ``close``, until every accepted connection has its protocol."""
+        if self._connect_tasks:
+            await asyncio.wait(self._connect_tasks)
+
     def _resume(self) -> None:
         self.resume_timer = None
         self.loop.add_reader(self.socket, self._accept)
--- a/storage_gateway/http/server.py
+++ b/storage_gateway/http/server.py
@@ -91,6 +91,8 @@
         while self.connections.open:
             self.connections.evict_idle()
             await asyncio.sleep(CLOSE_RETRY_INTERVAL_S)
+        if self.listener:
+            await self.listener.closed()
 
     def status_fields(self) -> dict[str, object]:
         """Return fields for the status line: the clients' connections."""
--- a/storage_gateway/policy/slow_start.py
+++ b/storage_gateway/policy/slow_start.py
@@ -38,8 +38,9 @@
         reserved = request.is_reserved
         demand.add(request.shard, request.units, reserved, now)
         rate = self._rate(node, age)
-        reserved_rate, total_rate = demand.at(request.shard, request.units, now)
-        own, before = (reserved_rate, 0.0) if reserved else (total_rate - reserved_rate, reserved_rate)
+        wanted = demand.at(request.shard, request.units, now)
+        own = wanted.reserved if reserved else wanted.total - wanted.reserved
+        before = 0.0 if reserved else wanted.reserved
         sample = 0.5 + demand.requests_seen(now) / MIN_SAMPLE
         node.slow_start_tokens.refill(rate, rate * self.safety.overload_window_s * sample, now)
         highest = min(1.0, node.slow_start_tokens.level / request.units)
--- a/storage_gateway/policy_state/__init__.py
+++ b/storage_gateway/policy_state/__init__.py
@@ -6,9 +6,10 @@
 from storage_gateway.policy_state.class_estimate import ClassEstimate
 from storage_gateway.policy_state.estimators import FAST_GAIN, bisect_decreasing, clamp
 from storage_gateway.policy_state.node import Node
+from storage_gateway.policy_state.reject_reason import RejectReason, longest_wait
 from storage_gateway.policy_state.request import Attempt, Request
 from storage_gateway.policy_state.state import PolicyState
-from storage_gateway.policy_state.status import RejectReason, longest_wait, take_status_fields
+from storage_gateway.policy_state.status import take_status_fields
 from storage_gateway.policy_state.timer_queue import Subject, WatchDue
 
 __all__ = [
--- a/storage_gateway/policy_state/estimators.py
+++ b/storage_gateway/policy_state/estimators.py
@@ -6,6 +6,7 @@
 from collections import deque
 from collections.abc import Callable, Sequence
 from itertools import pairwise
+from typing import NamedTuple
 
 from storage_gateway.policy_api import NO_SHARD
 
@@ -110,6 +111,20 @@
         return self.times[0] + self.span_s if self.times else math.inf
 
 
+class ShardRates(NamedTuple):
+    """Demand for one shard over the recent and the long span."""
+
+    recent: DecayingRate
+    long: DecayingRate
+
+
+class ShardDemand(NamedTuple):
+    """Units a second that this instance could send to one shard: inside reservations, and in all."""
+
+    reserved: float
+    total: float
+
+
 class DemandEstimate:
     """What this instance could send just now, in all and inside reservations, and each shard's part of it.
 
@@ -124,12 +139,13 @@
         self.recent = DecayingRate(recent_span_s)
         self.recent_reserved = DecayingRate(recent_span_s)
         self.long = DecayingRate(long_span_s)
-        self.shards: dict[int, tuple[DecayingRate, DecayingRate]] = {}  # over the recent and the long span
+        self.shards: dict[int, ShardRates] = {}
 
     def add(self, shard: int, units: float, reserved: bool, now: float) -> None:
         """Count a request that could be sent now, ``reserved`` if it is inside its reservation."""
         if shard not in self.shards:
-            self.shards[shard] = DecayingRate(self.recent_span_s), DecayingRate(self.long_span_s)
+            rates = ShardRates(DecayingRate(self.recent_span_s), DecayingRate(self.long_span_s))
+            self.shards[shard] = rates
         shard_recent, shard_long = self.shards[shard]
         self.recent.add(units, now)
         self.recent_reserved.add(units * reserved, now)
@@ -137,8 +153,8 @@
         shard_recent.add(units, now)
         shard_long.add(units, now)
 
-    def at(self, shard: int, units: float, now: float) -> tuple[float, float]:
-        """Return the shard's units a second inside reservations, and in all.
+    def at(self, shard: int, units: float, now: float) -> ShardDemand:
+        """Return the shard's part of the demand.
 
         Args:
             shard: a shard that ``add`` was called with.
@@ -151,7 +167,7 @@
         recent = self.recent.at(now)
         reserved = self.recent_reserved.at(now)
         demanded = max(part * recent, shard_recent.at(now) - units / self.recent_span_s)
-        return demanded * min(1.0, reserved / recent), demanded
+        return ShardDemand(demanded * min(1.0, reserved / recent), demanded)
 
     def requests_seen(self, now: float) -> float:
         """Return the number of requests that the estimate rests on."""
@@ -160,4 +176,4 @@
     def forget_unused(self, now: float) -> None:
         """Drop shards of which hardly anything is left over the long span."""
         least = self.mean_units / self.long_span_s / self.long_span_s
-        self.shards = {shard: rates for shard, rates in self.shards.items() if rates[1].at(now) > least}
+        self.shards = {shard: rates for shard, rates in self.shards.items() if rates.long.at(now) > least}
--- /dev/null
+++ b/storage_gateway/policy_state/reject_reason.py
@@ -0,0 +1,25 @@
+"""Why a request is shed."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+
+class RejectReason(StrEnum):
+    """What kept a request from being served, as the status line counts it."""
+
+    NO_ENDPOINT = "no_endpoint"
+    SLOW_START = "slow_start"
+    BACKOFF = "backoff"
+    EXCESS_RATE = "excess_rate"
+    RATE_LIMIT = "rate_limit"
+    CONCURRENCY_LIMIT = "concurrency_limit"
+    LATE = "late"
+    NON_IDEMPOTENT = "non_idempotent"
+    MAX_ATTEMPTS = "max_attempts"
+
+
+def longest_wait(ready_at: dict[RejectReason, float], now: float) -> RejectReason | None:
+    """Return what the request would have had to wait for longest, None where nothing is ahead of it."""
+    longest = max(ready_at, key=lambda reason: ready_at[reason])
+    return longest if ready_at[longest] > now else None
--- a/storage_gateway/policy_state/state.py
+++ b/storage_gateway/policy_state/state.py
@@ -11,6 +11,7 @@
 from storage_gateway.policy_state.estimators import FAST_GAIN, DemandEstimate, SlidingWindow, clamp
 from storage_gateway.policy_state.node import Node
 from storage_gateway.policy_state.node_table import NodeTable
+from storage_gateway.policy_state.reject_reason import RejectReason
 from storage_gateway.policy_state.request import Attempt, Request
 from storage_gateway.policy_state.request_table import RequestTable
 from storage_gateway.policy_state.timer_queue import TimerQueue
@@ -130,7 +131,7 @@
                 request.possible_executions.append(attempt)
         return attempt
 
-    def count_rejected(self, request: Request, reason: str) -> None:
+    def count_rejected(self, request: Request, reason: RejectReason) -> None:
         """Count a request that is shed, by the reason and by whether it was inside its reservation."""
         part = "reserved" if request.is_reserved else "excess"
         self.counters[f"rejected_{reason}_{part}"] += 1
--- a/storage_gateway/policy_state/status.py
+++ b/storage_gateway/policy_state/status.py
@@ -3,33 +3,12 @@
 from __future__ import annotations
 
 from collections import Counter
-from enum import StrEnum
 
 from storage_gateway.policy_state.state import PolicyState
 
 REPORTED_FAILING_NODES = 3
 
 
-class RejectReason(StrEnum):
-    """What kept a request from being served, as the status line counts it."""
-
-    NO_ENDPOINT = "no_endpoint"
-    SLOW_START = "slow_start"
-    BACKOFF = "backoff"
-    EXCESS_RATE = "excess_rate"
-    RATE_LIMIT = "rate_limit"
-    CONCURRENCY_LIMIT = "concurrency_limit"
-    LATE = "late"
-    NON_IDEMPOTENT = "non_idempotent"
-    MAX_ATTEMPTS = "max_attempts"
-
-
-def longest_wait(ready_at: dict[RejectReason, float], now: float) -> RejectReason | None:
-    """Return what the request would have had to wait for longest, None where nothing is ahead of it."""
-    longest = max(ready_at, key=lambda reason: ready_at[reason])
-    return longest if ready_at[longest] > now else None
-
-
 def take_status_fields(state: PolicyState) -> dict[str, object]:
     """Return counts since the last call, and the present state of the nodes; the counts begin anew."""
     counters = dict(sorted(state.counters.items()))
