--- a/storage_gateway/config/services.py
+++ b/storage_gateway/config/services.py
@@ -110,6 +110,8 @@
 def _read_vrrp(table: ConfigTable) -> VrrpConfig | None:
     if not table.boolean("enabled"):
         return None
+    for key in ("peers", "addresses"):
+        table.value(key)  # an error where one is missing, before either is checked further
     peers = _read_required_texts(table, "peers")
     addresses = _read_required_texts(table, "addresses")
     config = VrrpConfig(
@@ -126,7 +128,6 @@
 
 
 def _read_required_texts(table: ConfigTable, key: str) -> list[str]:
-    table.value(key)  # an error where the key is missing
     texts = table.texts(key)
     if not texts:
         raise table.error(key, "want a list of texts")
--- a/storage_gateway/policy_state/request.py
+++ b/storage_gateway/policy_state/request.py
@@ -131,9 +131,9 @@
         return self.shard == NO_SHARD
 
     @property
-    def has_left(self) -> bool:
-        """It no longer waits for a node."""
-        return self.is_over or bool(self.in_flight)
+    def is_waiting(self) -> bool:
+        """It waits for a node."""
+        return not self.is_over and not self.in_flight
 
     @property
     def duplicates_discarded_until(self) -> float:
--- a/storage_gateway/policy_state/request_table.py
+++ b/storage_gateway/policy_state/request_table.py
@@ -42,7 +42,7 @@
 
     def take_to_review(self) -> list[Request]:
         """Return the requests to check that still wait for a node, each once."""
-        waiting = dict.fromkeys(request for request in self.to_review if not request.has_left)
+        waiting = dict.fromkeys(request for request in self.to_review if request.is_waiting)
         self.to_review = []
         return list(waiting)
 
--- a/tests/config/test_services.py
+++ b/tests/config/test_services.py
@@ -62,5 +62,11 @@
     assert str(caught.value).startswith(f"fronts.toml: {faulty_key}: ")
 
 
+def test_missing_addresses_are_reported_before_peers_that_cannot_be_used(tmp_path: Path) -> None:
+    faults = (('peers = ["127.0.0.2:3112"]', "peers = []"), ('addresses = ["127.0.0.1"]', ""))
+    with pytest.raises(ConfigurationError, match=r"^fronts\.toml: vrrp\.addresses: missing"):
+        read_enabled(tmp_path, *faults)
+
+
 def test_without_a_file_all_services_are_off(tmp_path: Path) -> None:
     assert read_services(tmp_path / "absent.toml", CLASS_INDEXES, PLAN_INDEXES) == ServicesConfig()
