--- a/review/support.py
+++ b/review/support.py
@@ -53,8 +53,8 @@
         self._ready = asyncio.Event()
         self._reader: asyncio.Task[None] | None = None
 
-    async def start(self, settings: dict[str, Any], discovery: str) -> None:
-        """Start the process and wait until it is ready.
+    async def start(self, settings: dict[str, Any], discovery: str, sockets: int = 1024) -> None:
+        """Start the process, limited to that many descriptors, and wait until it is ready.
 
         Raises:
             NotRunError: it did not become ready.
@@ -64,7 +64,7 @@
             "listen": "127.0.0.1:0",
             "discovery": discovery,
             "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
             "settings": settings,
         }
         path = self._folder / f"{self.name}.json"
