--- a/review/2/unfinished_heads.py
+++ b/review/2/unfinished_heads.py
@@ -11,7 +11,9 @@
 
 from review import support
 
-DESCRIPTORS = 256  # "256 to 1,024 descriptors"; a third of them would be 85 connections for requests
+DESCRIPTORS = int(
+    os.environ.get("DESCRIPTORS", "256")
+)  # "256 to 1,024 descriptors"; a third of them would be 85 connections for requests
 BAD_CLIENTS = int(os.environ.get("BAD_CLIENTS", "200"))  # "by hundreds"
 BAD_AT = 20  # number of the usual request before which they come
 REQUESTS = 60
--- a/review/support.py
+++ b/review/support.py
@@ -199,7 +199,10 @@
             body = await reader.readexactly(int(headers.get("Content-Length", 0)))
             trace_id = headers["X-Trace-Id"]
             self.runs[trace_id] = self.runs.get(trace_id, 0) + 1
-            self.record.line(f"{self.name}: runs {method} {trace_id}, run {self.runs[trace_id]}")
+            expires_ms = headers.get("X-Expires-In-Ms")
+            self.record.line(
+                f"{self.name}: runs {method} {trace_id}, run {self.runs[trace_id]}, has {expires_ms} ms"
+            )
             await self._answer(NodeRequest(trace_id, method, target, body, writer, headers))
             if writer.is_closing():
                 return
