--- a/review/support.py
+++ b/review/support.py
@@ -7,6 +7,7 @@
 import json
 import os
 import signal
+import tempfile
 import time
 import tomllib
 import zlib
@@ -39,6 +40,33 @@
         self._file.write(f"{time.monotonic() - self._start:8.3f} {text}\n")
 
 
+def run_case(play: Callable[[Record, Path], Awaitable[int]], folder: Path) -> int:
+    """Run a case with a temporary folder, and return the exit status.
+
+    Args:
+        play: plays the case and returns ``HELD`` or ``BROKEN``.
+        folder: where ``record.txt`` is written.
+    """
+    record = Record(folder)
+
+    async def play_once(temporary: Path) -> int:
+        task = asyncio.current_task()
+        assert task
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        return await play(record, temporary)
+
+    with tempfile.TemporaryDirectory() as temporary:
+        try:
+            return asyncio.run(play_once(Path(temporary)))
+        except (
+            Exception,
+            asyncio.CancelledError,
+        ) as error:  # a fault of the case says nothing about the rule
+            record.line(f"not run: {type(error).__name__}: {error}")
+            print(f"not run: {type(error).__name__}: {error}")
+            return NOT_RUN
+
+
 class GatewayProcess:
     """The program, started by the ``run`` command of the deploy file as the platform does it."""
 
