--- a/review/1/indented_list.py
+++ b/review/1/indented_list.py
@@ -16,8 +16,6 @@
 TRAFFIC_S = 20.0
 INTERVAL_S = 0.1
 TIMEOUT_MS = 1200
-FINAL_ANSWER_GRACE_S = 0.5  # "Up to half a second after its time it only earns nothing; later ... it is lost"
-CLIENT_DELAY_S = 0.05  # allowance for the time that the client of this script takes itself
 WAIT_S = 40.0  # the clients wait this long, to see when the answer comes
 
 
@@ -27,21 +25,6 @@
     request.writer.write(support.length_answer(request.trace_id.encode()))
 
 
-async def send_one(record: support.Record, port: int, number: int) -> bool:
-    """Send one request; return whether it got its final answer in time."""
-    trace_id = f"r{number:04d}"
-    record.line(f"client: sends {trace_id}")
-    response = await support.send(
-        port, "stock-read", trace_id, shard=number % USED_SHARDS, timeout_ms=TIMEOUT_MS, wait_s=WAIT_S
-    )
-    in_time = response.status > 0 and (
-        response.seconds <= TIMEOUT_MS / 1000 + FINAL_ANSWER_GRACE_S + CLIENT_DELAY_S
-    )
-    verdict = "in time" if in_time else "LOST"
-    record.line(f"client: {trace_id} got {response.status} after {response.seconds:.3f} s: {verdict}")
-    return in_time
-
-
 async def play(record: support.Record, folder: Path) -> int:
     """Play the case and return the exit status."""
     nodes = [support.Node(f"s-{cell}", record, answer) for cell in range(USED_SHARDS)]
@@ -58,15 +41,18 @@
     try:
         await gateway.start(support.small_deployment(LISTED_NODES), discovery.address)
         await asyncio.sleep(1.0)
+        clients = support.Clients(gateway.port, record, nodes, WAIT_S)
         requests = []
         for number in range(int(TRAFFIC_S / INTERVAL_S)):
             if support.TROUBLE and number == int(RESET_AT_S / INTERVAL_S):
                 record.line("discovery: resets the open watch")
                 discovery.indents_watch_list = INDENT
                 discovery.reset_connections()
-            requests.append(asyncio.create_task(send_one(record, gateway.port, number)))
+            asking = clients.ask("stock-read", f"r{number:04d}", number % USED_SHARDS, TIMEOUT_MS)
+            requests.append(asyncio.create_task(asking))
             await asyncio.sleep(INTERVAL_S)
         in_time = await asyncio.gather(*requests)
+        clients.close()
     finally:
         await gateway.end()
         discovery.stop()
--- a/review/2/unfinished_heads.py
+++ b/review/2/unfinished_heads.py
@@ -18,8 +18,7 @@
 REQUESTS = 60
 INTERVAL_S = 0.1
 TIMEOUT_MS = 1200
-FINAL_ANSWER_GRACE_S = 0.5  # "Up to half a second after its time it only earns nothing; later ... it is lost"
-CLIENT_DELAY_S = 0.05  # allowance for the time that the client of this script takes itself
+MAX_USUAL_CONNECTIONS = DESCRIPTORS // 3  # "Clients hold at most a third of the descriptors for requests"
 WAIT_S = 15.0  # the clients wait this long, to see when the answer comes
 HALF_A_HEAD = b"GET /api?block=7f3a9c21e0b4d655 HTTP/1.1\r\nHost: api.internal\r\nX-Trace-Id: bad"
 
@@ -44,21 +43,6 @@
     writer.transport.abort()
 
 
-async def send_one(record: support.Record, port: int, number: int) -> bool:
-    """Send one request on a new connection; return whether the rule was kept for it.
-
-    A connection that the front shuts without an answer is excused: "new connections may be shut unread then".
-    """
-    trace_id = f"r{number:04d}"
-    record.line(f"client: sends {trace_id}")
-    response = await support.send(port, "stock-read", trace_id, timeout_ms=TIMEOUT_MS, wait_s=WAIT_S)
-    limit_s = TIMEOUT_MS / 1000 + FINAL_ANSWER_GRACE_S + CLIENT_DELAY_S
-    is_kept = response.status >= 0 and response.seconds <= limit_s
-    verdict = "in time" if is_kept else "LOST"
-    record.line(f"client: {trace_id} got {response.status} after {response.seconds:.3f} s: {verdict}")
-    return is_kept
-
-
 async def play(record: support.Record, folder: Path) -> int:
     """Play the case and return the exit status."""
     node = support.Node("s-0", record, answer)
@@ -70,6 +54,7 @@
     try:
         await gateway.start(support.small_deployment(), discovery.address, DESCRIPTORS)
         await asyncio.sleep(1.0)
+        clients = support.Clients(gateway.port, record, [node], WAIT_S)
         requests = []
         for number in range(REQUESTS):
             if support.TROUBLE and number == BAD_AT:
@@ -79,16 +64,21 @@
                     for index in range(BAD_CLIENTS)
                 ]
                 await asyncio.sleep(INTERVAL_S)
-            requests.append(asyncio.create_task(send_one(record, gateway.port, number)))
+            asking = clients.ask("stock-read", f"r{number:04d}", 0, TIMEOUT_MS)
+            requests.append(asyncio.create_task(asking))
             await asyncio.sleep(INTERVAL_S)
         kept = await asyncio.gather(*requests)
         await asyncio.gather(*bad_clients)
+        clients.close()
     finally:
         await gateway.end()
         discovery.stop()
         node.stop()
     if not all(kept[: BAD_AT - 1]):
         raise support.NotRunError("requests were lost before the disruption")
+    record.line(f"usual clients held {clients.most_open} connections at most")
+    if clients.most_open > MAX_USUAL_CONNECTIONS:
+        raise support.NotRunError("the usual clients held more connections than the pages allow")
     lost = kept.count(False)
     print(f"requests {len(kept)}, without a final answer in time {lost}")
     record.line(f"requests {len(kept)}, without a final answer in time {lost}")
--- a/review/support.py
+++ b/review/support.py
@@ -7,6 +7,7 @@
 import json
 import os
 import signal
+import socket
 import tempfile
 import time
 import tomllib
@@ -18,6 +19,11 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 READY_TIMEOUT_S = 30.0
+READY_POLL_S = 0.05
+CASE_TIMEOUT_S = 110.0
+FINAL_ANSWER_GRACE_S = 0.5  # "Up to half a second after its time it only earns nothing; later ... it is lost"
+WIRE_SLACK_S = 0.05  # "every time limit is longer by 50 ms"
+CLIENT_DELAY_S = 0.05  # allowance for the time that the clients of these scripts take themselves
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD = 0
 BROKEN = 1
@@ -53,7 +59,8 @@
         task = asyncio.current_task()
         assert task
         asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
-        return await play(record, temporary)
+        async with asyncio.timeout(CASE_TIMEOUT_S):
+            return await play(record, temporary)
 
     with tempfile.TemporaryDirectory() as temporary:
         try:
@@ -67,6 +74,13 @@
             return NOT_RUN
 
 
+def free_port(host: str = "127.0.0.1", kind: socket.SocketKind = socket.SOCK_STREAM) -> int:
+    """Return a port that is free at the moment."""
+    with socket.socket(socket.AF_INET, kind) as probe:
+        probe.bind((host, 0))
+        return int(probe.getsockname()[1])
+
+
 class GatewayProcess:
     """The program, started by the ``run`` command of the deploy file as the platform does it."""
 
@@ -74,11 +88,9 @@
         self.name = name
         self.port = 0
         self.process: asyncio.subprocess.Process | None = None
-        self.log: list[str] = []
         self._record = record
         self._folder = folder
         self._root = root
-        self._ready = asyncio.Event()
         self._reader: asyncio.Task[None] | None = None
 
     async def start(self, settings: dict[str, Any], discovery: str, sockets: int = 1024) -> None:
@@ -87,9 +99,11 @@
         Raises:
             NotRunError: it did not become ready.
         """
+        self.port = free_port()
+        listen = f"127.0.0.1:{self.port}"
         config = {
             "name": self.name,
-            "listen": "127.0.0.1:0",
+            "listen": listen,
             "discovery": discovery,
             "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
@@ -98,24 +112,38 @@
         path = self._folder / f"{self.name}.json"
         path.write_text(json.dumps(config))
         run = tomllib.loads((self._root / "deploy" / "balancer.toml").read_text())["run"]
-        environment = {name: value for name, value in os.environ.items() if not name.startswith("RELAY_")}
+        told = {"NAME": self.name, "LISTEN": listen, "DISCOVERY": discovery, "CONFIG": str(path)}
         self.process = await asyncio.create_subprocess_exec(
             "/bin/sh",
             "-c",
             run,
             cwd=self._root,
-            env={**environment, "RELAY_CONFIG": str(path)},
+            env={**os.environ, **{f"RELAY_{name}": value for name, value in told.items()}},
             stdin=asyncio.subprocess.DEVNULL,
             stdout=asyncio.subprocess.DEVNULL,
             stderr=asyncio.subprocess.PIPE,
         )
         self._reader = asyncio.create_task(self._read_log())
+        for _ in range(int(READY_TIMEOUT_S / READY_POLL_S)):
+            if await self._is_up():
+                self._record.line(f"{self.name}: answers 200 to GET /up on port {self.port}")
+                return
+            await asyncio.sleep(READY_POLL_S)
+        raise NotRunError(f"{self.name} is not ready")
+
+    async def _is_up(self) -> bool:
+        """Return whether it answers 200 to ``GET /up``; from then on, clients may use it."""
         try:
-            async with asyncio.timeout(READY_TIMEOUT_S):
-                await self._ready.wait()
-        except TimeoutError as error:
-            raise NotRunError(f"{self.name} is not ready; its log: {self.log}") from error
-        self._record.line(f"{self.name}: ready, listens on port {self.port}")
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        except OSError:
+            return False
+        writer.write(b"GET /up HTTP/1.1\r\nHost: api.internal\r\nConnection: close\r\n\r\n")
+        try:
+            return b" 200 " in await reader.readline()
+        except OSError:
+            return False
+        finally:
+            writer.close()
 
     def send_signal(self, number: signal.Signals) -> None:
         """Send the process a signal."""
@@ -136,12 +164,8 @@
         assert self.process
         assert self.process.stderr
         while line := (await self.process.stderr.readline()).decode(errors="replace").rstrip():
-            self.log.append(line)
             if "status_reported" not in line:
                 self._record.line(f"{self.name} log: {line[:300]}")
-            if "event='gateway_ready'" in line:
-                self.port = int(line.partition("port=")[2].partition(")")[0])
-                self._ready.set()
 
 
 class StandIn:
@@ -305,51 +329,105 @@
 
 @dataclass
 class Response:
-    """What a client got for a request; status 0 for a connection that ended without a whole answer."""
+    """What a client got for a request.
+
+    Attributes:
+        status: the answer's status; ``NOT_TAKEN``, ``CLOSED`` or ``SILENT`` if there was no whole answer.
+        seconds: from the last byte of the request to the end.
+    """
 
     status: int
-    body: bytes
     seconds: float
 
 
-async def send(
-    port: int,
-    request_class: str,
-    trace_id: str,
-    *,
-    plan: str = "prioritario",
-    shard: int = 0,
-    timeout_ms: int = 1200,
-    method: str = "GET",
-    body: bytes = b"",
-    wait_s: float = 60.0,
-) -> Response:
-    """Send a request on a new connection and wait for its answer.
-
-    Status -1 stands for no answer within ``wait_s``. The connection stays open until then.
+NOT_TAKEN = -2  # the connection was refused
+CLOSED = -1  # the connection ended without a whole answer
+SILENT = 0  # nothing came while the client waited
+
+
+class Clients:
+    """Usual clients: each is new, asks once, and keeps its connection until the front ends it.
+
+    Attributes:
+        most_open: largest number of connections that they have held at a time.
     """
-    reader, writer = await asyncio.open_connection("127.0.0.1", port)
-    head = (
-        f"{method} /api?block={zlib.crc32(trace_id.encode()):016x} HTTP/1.1\r\nHost: api.internal\r\n"
-        f"X-Trace-Id: {trace_id}\r\nX-Qos: {request_class}\r\nX-Plan: {plan}\r\n"
-        f"X-Expires-In-Ms: {timeout_ms}\r\n"
-        f"X-IO: volume={0x3B4D60021 + shard:016x},units=1,shard={shard},hosts=1\r\n"
-    )
-    if method == "PUT":
-        head += f"Content-Length: {len(body)}\r\n"
-    writer.write(f"{head}\r\n".encode() + body)
-    sent_at = time.monotonic()
-    try:
-        async with asyncio.timeout(wait_s):
-            lines = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
-            headers = {name.lower(): value for name, _, value in (line.partition(": ") for line in lines[1:])}
-            content = await reader.readexactly(int(headers.get("content-length", 0)))
-        return Response(int(lines[0].split()[1]), content, time.monotonic() - sent_at)
-    except TimeoutError:
-        return Response(-1, b"", time.monotonic() - sent_at)
-    except (EOFError, OSError):
-        return Response(0, b"", time.monotonic() - sent_at)
-    finally:
+
+    def __init__(self, port: int, record: Record, nodes: list[Node], wait_s: float) -> None:
+        self.most_open = 0
+        self._port = port
+        self._record = record
+        self._nodes = nodes
+        self._wait_s = wait_s
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._resting: set[asyncio.Task[None]] = set()
+
+    async def ask(self, request_class: str, trace_id: str, shard: int, timeout_ms: int) -> bool:
+        """Send a read and wait for its answer; return whether the rule on final answers was kept for it.
+
+        A late answer is still waited for, to record when it comes; the verdict does not depend on that.
+        """
+        self._record.line(f"client: sends {trace_id}")
+        response = await self._exchange(request_class, trace_id, shard, timeout_ms)
+        is_kept = self._is_kept(response, trace_id, timeout_ms / 1000)
+        verdict = "kept" if is_kept else "LOST"
+        self._record.line(
+            f"client: {trace_id} got {response.status} after {response.seconds:.3f} s: {verdict}"
+        )
+        return is_kept
+
+    def close(self) -> None:
+        """Close all connections."""
+        for task in self._resting:
+            task.cancel()
+        for writer in self._writers:
+            writer.transport.abort()
+
+    def _is_kept(self, response: Response, trace_id: str, timeout_s: float) -> bool:
+        """Return whether the rule holds, with its excuses.
+
+        A refused connection took no request. A connection that the front ended with nothing sent on for its
+        first request counts as shut unread: whether the front had read it cannot be seen from outside.
+        """
+        if response.status == NOT_TAKEN:
+            return True
+        if response.status == CLOSED:
+            return not any(trace_id in node.runs for node in self._nodes)
+        limit_s = timeout_s + FINAL_ANSWER_GRACE_S + WIRE_SLACK_S + CLIENT_DELAY_S
+        return response.status != SILENT and response.seconds <= limit_s
+
+    async def _exchange(self, request_class: str, trace_id: str, shard: int, timeout_ms: int) -> Response:
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", self._port)
+        except OSError:
+            return Response(NOT_TAKEN, 0.0)
+        self._writers.add(writer)
+        self.most_open = max(self.most_open, len(self._writers))
+        head = (
+            f"GET /api?block={zlib.crc32(trace_id.encode()):016x} HTTP/1.1\r\nHost: api.internal\r\n"
+            f"X-Trace-Id: {trace_id}\r\nX-Qos: {request_class}\r\nX-Plan: prioritario\r\n"
+            f"X-Expires-In-Ms: {timeout_ms}\r\n"
+            f"X-IO: volume={0x3B4D60021 + shard:016x},units=1,shard={shard},hosts=1\r\n\r\n"
+        )
+        writer.write(head.encode())
+        sent_at = time.monotonic()
+        try:
+            async with asyncio.timeout(self._wait_s):
+                lines = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+                fields = {name.lower(): value for name, _, value in (line.partition(": ") for line in lines)}
+                await reader.readexactly(int(fields.get("content-length", 0)))
+            status = int(lines[0].split()[1])
+        except TimeoutError:
+            status = SILENT
+        except (EOFError, OSError):
+            status = CLOSED
+        seconds = time.monotonic() - sent_at
+        self._resting.add(asyncio.create_task(self._rest(reader, writer)))
+        return Response(status, seconds)
+
+    async def _rest(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(OSError):
+            await reader.read()
+        self._writers.discard(writer)
         writer.transport.abort()
 
 
