Apply a change of one node in the policy without work for the rest of the fleet

Change: policy/membership.py applies updates; it derives the owners of the shards whose nodes an update names, and the whole order of the owners only when a round or a new object needs it. The scheduler leaves out the nodes that have no queued request to choose.

--- a/storage_gateway/policy/concurrency.py
+++ b/storage_gateway/policy/concurrency.py
@@ -28,7 +28,7 @@
         state.last_round_at = state.now
         for request in state.requests.by_id.values():
             state.count_demand(request, round_started_at)
-        total_slots = max(1.0, sum(node.concurrency_limit for node in state.nodes.owners.values()))
+        total_slots = max(1.0, sum(node.concurrency_limit for node in state.nodes.ordered_owners()))
         for estimate in state.classes:
             estimate.measure(total_slots)
             self._request_bound(estimate, total_slots)
@@ -51,7 +51,7 @@
 
     def split(self, index: int, bound: float) -> None:
         """Split a class's bound, in slots, over the nodes by demand; each gets at least one slot."""
-        nodes = list(self.state.nodes.owners.values())
+        nodes = self.state.nodes.ordered_owners()
         total_demand = sum(node.class_demand[index] for node in nodes)
         for node in nodes:
             share = node.class_demand[index] / total_demand if total_demand else 1 / len(nodes)
--- a/storage_gateway/policy/policy.py
+++ b/storage_gateway/policy/policy.py
@@ -7,7 +7,8 @@
 from storage_gateway import policy_api as api
 from storage_gateway.policy.admission import AdmissionControl
 from storage_gateway.policy.concurrency import CONTROL_INTERVAL_S, ConcurrencyController
-from storage_gateway.policy.node_health import MAX_CONCURRENCY_LIMIT, NodeHealth
+from storage_gateway.policy.membership import Membership
+from storage_gateway.policy.node_health import NodeHealth
 from storage_gateway.policy.retries import RetryPolicy
 from storage_gateway.policy.scheduling import Scheduler
 from storage_gateway.policy_state import EndpointWatchDue, Node, PolicyState, RejectReason, Request, Subject
@@ -22,6 +23,7 @@
         self.state = PolicyState(settings)
         self.concurrency = ConcurrencyController(self.state)
         self.health = NodeHealth(self.state)
+        self.membership = Membership(self.state, self.health)
         self.retries = RetryPolicy(self.state)
         self.admission = AdmissionControl(self.state, self.health, self.retries)
         self.scheduler = Scheduler(self.state, self.admission, self.retries)
@@ -61,7 +63,7 @@
             case api.TimerFired():
                 self.state.timer_due_at = math.inf
             case api.EndpointsChanged():
-                self._on_endpoints_changed(event)
+                self.membership.update(event)
             case api.RequestArrived():
                 self.admission.reserve(self.state.record_arrived(event))
             case api.AttemptEnded() if event.request_id in requests:
@@ -107,22 +109,3 @@
             self.admission.shed(request, RejectReason.LATE)
         elif request.attempts_sent >= self.settings.max_attempts:
             self.admission.shed(request, RejectReason.MAX_ATTEMPTS)
-
-    def _on_endpoints_changed(self, event: api.EndpointsChanged) -> None:
-        state = self.state
-        nodes = state.nodes
-        if event.kind is api.EndpointUpdateKind.UNAVAILABLE:
-            interval_s = self.settings.safety.endpoint_poll_interval_s or CONTROL_INTERVAL_S
-            state.timers.add(state.now + interval_s / 4, EndpointWatchDue())
-            return
-        if event.kind is not api.EndpointUpdateKind.DELTA:
-            nodes.stop_serving()
-        limit = max(1.0, MAX_CONCURRENCY_LIMIT / state.gateway_count)
-        for entry in event.entries:
-            nodes.update(entry, limit, self.health.queueing_objective_s / 2, state.now)
-        nodes.owners = {}
-        for node in nodes.by_id.values():
-            owner = nodes.owners.get(node.shard, node)
-            if node.serving and node.started_at >= owner.started_at:
-                nodes.owners[node.shard] = node
-        nodes.reset_ready()
--- a/storage_gateway/policy/scheduling.py
+++ b/storage_gateway/policy/scheduling.py
@@ -24,9 +24,10 @@
     def dispatch(self) -> None:
         """Send queued requests, letting the nodes choose in the order of their expected wait.
 
-        Thus a request that creates an object goes to the node that is expected to respond first.
+        Thus a request that creates an object goes to the node that is expected to respond first. Nodes that
+        have no queued request to choose are left out, as a change of the endpoint list makes all nodes ready.
         """
-        ready = self.state.nodes.take_ready()
+        ready = self.state.nodes.take_ready(self.state.requests.queues)
         queue = [(self.state.expected_wait(node), order, node) for order, node in enumerate(ready)]
         heapify(queue)
         while queue:
--- a/storage_gateway/policy_state/node.py
+++ b/storage_gateway/policy_state/node.py
@@ -46,6 +46,7 @@
         served_units: units served since the last control round.
         last_served_at: when the node last served an attempt; 0 for never.
         newest_served_sent_at: latest send time of all served attempts; 0 for none.
+        listing_number: greater than that of every node whose record was created before.
     """
 
     node_id: int
@@ -71,6 +72,7 @@
     served_units: float = 0.0
     last_served_at: float = 0.0
     newest_served_sent_at: float = 0.0
+    listing_number: int = 0
 
     @classmethod
     def from_entry(
--- a/storage_gateway/policy_state/node_table.py
+++ b/storage_gateway/policy_state/node_table.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Container
+from collections.abc import Container, Mapping, Sequence
+from itertools import count
 
 from storage_gateway.policy_api import NO_SHARD, EndpointEntry, EndpointState, Settings
 from storage_gateway.policy_state.estimators import low_biased_mean
@@ -17,9 +18,9 @@
     """Nodes by id and by shard; ``PolicyState`` owns it.
 
     Attributes:
-        by_id: all known nodes, by id.
-        owners: the serving node that owns each shard, by shard.
-        ready: nodes that have to choose in the next dispatch, by id.
+        by_id: all known nodes, by id, in the order in which they were first listed.
+        by_shard: the same nodes by shard and id, each shard's in the same order.
+        owners: the serving node that owns each shard, by shard, in no order; ``ordered_owners`` has one.
         shard_rates: mean units a second that this instance has had served, by shard.
         unit_time_s: mean seconds of service for a unit at any node, assumed for a new node; 0 until a node
             has served an attempt.
@@ -31,8 +32,12 @@
     def __init__(self, settings: Settings) -> None:
         self._classes = len(settings.classes)
         self.by_id: dict[int, Node] = {}
+        self.by_shard: dict[int, dict[int, Node]] = {}
         self.owners: dict[int, Node] = {}
-        self.ready: dict[int, Node] = {}
+        self._listing_numbers = count(1)
+        self._ordered_owners: list[Node] | None = []  # None: to be sorted
+        self._ready: dict[int, Node] = {}  # marked one by one, by id
+        self._all_ready = False  # whether all other owners follow those of ``_ready``
         self.shard_rates: dict[int, float] = {}
         self.unit_time_s = 0.0
         mean_weight = sum(plan.excess_weight for plan in settings.plans) / self._classes or 1.0
@@ -42,43 +47,83 @@
 
     def update(
         self, entry: EndpointEntry, concurrency_limit: float, queueing_delay_s: float, now: float
-    ) -> None:
-        """Apply an entry of the endpoint list; the limit and the delay are initial values of a new node."""
+    ) -> Node:
+        """Apply an entry of the endpoint list, and return the record of its node.
+
+        The limit and the delay are initial values of a new node. The owner of its shard stays as it was.
+        """
         node = self.by_id.get(entry.id)
         if node is None:
             node = Node.from_entry(
                 entry, self._classes, concurrency_limit, queueing_delay_s, self.min_excess_rate
             )
+            node.listing_number = next(self._listing_numbers)
             self.by_id[entry.id] = node
+            self.by_shard.setdefault(node.shard, {})[entry.id] = node
         node.serving = entry.state is EndpointState.SERVING
         if entry.started_at > node.started_at:
             node.restart(entry.started_at, now)
+        return node
 
     def stop_serving(self) -> None:
         """Mark all nodes as not serving, before a complete list is applied that marks those it names."""
         for node in self.by_id.values():
             node.serving = False
 
+    def set_owner(self, shard: int, owner: Node | None) -> None:
+        """Set the serving node that owns the shard; None for none."""
+        if owner is None:
+            self.owners.pop(shard, None)
+        else:
+            self.owners[shard] = owner
+        self._ordered_owners = None
+
+    def ordered_owners(self) -> list[Node]:
+        """Return the owners of all shards, in the order in which the serving nodes were first listed."""
+        if self._ordered_owners is None:
+            self._ordered_owners = sorted(self.owners.values(), key=self._listing_number_of_shard)
+        return self._ordered_owners
+
     def reset_ready(self) -> None:
         """Mark exactly the owners of shards as ready."""
-        self.ready = {node.node_id: node for node in self.owners.values()}
+        self._ready = {}
+        self._all_ready = True
 
     def mark_ready(self, shard: int) -> None:
         """Mark the owner of this shard as ready; for ``NO_SHARD``, the owners of all shards."""
         if shard == NO_SHARD:
             self.mark_all_ready()
-        elif node := self.owners.get(shard):
-            self.ready[node.node_id] = node
+        elif not self._all_ready and (node := self.owners.get(shard)):
+            self._ready[node.node_id] = node
 
     def mark_all_ready(self) -> None:
         """Mark the owners of all shards as ready."""
-        self.ready.update({node.node_id: node for node in self.owners.values()})
+        self._all_ready = True
+
+    def take_ready(self, queues: Mapping[int, Sequence[object]]) -> list[Node]:
+        """Return the ready nodes that have requests to choose from, in the order marked; unmark all nodes.
 
-    def take_ready(self) -> list[Node]:
-        """Return the ready nodes in the order in which they were marked, and unmark them."""
-        ready = list(self.ready.values())
-        self.ready = {}
-        return ready
+        Args:
+            queues: the queued requests by shard; those of ``NO_SHARD`` may go to any node.
+        """
+        ready = self._ready
+        if self._all_ready:
+            ready = ready | {node.node_id: node for node in self._owners_with_requests(queues)}
+        self._ready = {}
+        self._all_ready = False
+        any_node = bool(queues.get(NO_SHARD))
+        return [node for node in ready.values() if any_node or queues.get(node.shard)]
+
+    def _owners_with_requests(self, queues: Mapping[int, Sequence[object]]) -> list[Node]:
+        """Return the owners that have requests to choose from, in the order of ``ordered_owners``."""
+        if queues.get(NO_SHARD):
+            return self.ordered_owners()
+        owners = [self.owners[shard] for shard, queue in queues.items() if queue and shard in self.owners]
+        return sorted(owners, key=self._listing_number_of_shard)
+
+    def _listing_number_of_shard(self, owner: Node) -> int:
+        """Return the listing number of the first serving node of the owner's shard."""
+        return next(node.listing_number for node in self.by_shard[owner.shard].values() if node.serving)
 
     def update_unit_time(self, unit_time_s: float) -> None:
         """Update the mean service time by the seconds for each unit of a response of any node."""
@@ -104,13 +149,17 @@
     def forget_unused(self, unused_since: float, volume_ids: Container[int]) -> None:
         """Drop tokens of forgotten volumes, and nodes that do not serve and are unused since."""
         for node in self.owners.values():
-            node.excess_tokens = {
-                volume_id: tokens
-                for volume_id, tokens in node.excess_tokens.items()
-                if volume_id in volume_ids
-            }
-        self.by_id = {
-            node_id: node
-            for node_id, node in self.by_id.items()
-            if node.serving or node.last_served_at > unused_since
-        }
+            if node.excess_tokens:
+                node.excess_tokens = {
+                    volume_id: tokens
+                    for volume_id, tokens in node.excess_tokens.items()
+                    if volume_id in volume_ids
+                }
+        unused_nodes = [
+            node for node in self.by_id.values() if not node.serving and node.last_served_at <= unused_since
+        ]
+        for node in unused_nodes:
+            del self.by_id[node.node_id]
+            del self.by_shard[node.shard][node.node_id]
+            if not self.by_shard[node.shard]:
+                del self.by_shard[node.shard]
--- a/storage_gateway/policy_state/status.py
+++ b/storage_gateway/policy_state/status.py
@@ -15,7 +15,7 @@
     failures = state.failures_by_node.most_common(REPORTED_FAILING_NODES)
     state.counters = Counter()
     state.failures_by_node = Counter()
-    nodes = list(state.nodes.owners.values())
+    nodes = state.nodes.ordered_owners()
     window = state.settings.safety.slow_start_window_s
     return {
         **counters,
