Reject requests that stall before they are complete once all client connections are in use

The stopped clients were closed after up to 4.2 s, over the 3 s that they are owed.

Cause: at the connection limit (100 of 256 descriptors) ConnectionTracker.ensure_capacity closed idle connections only. One on which part of a request had arrived kept its place until the idle timeout of 2.1 s or, within a body, until 1.5 s after the head, and complete requests waited in the kernel's backlog behind it.

Evidence, status lines during the case: clients=100 clients_idle=100, lag_ms 0.2 to 1.2, 0.07 s of CPU in 2 s. So the event loop was free (a busy loop is ruled out) and nothing else held the connections; that the "idle" ones had incomplete heads was not in the log.

Change: the tracker knows the connections with an incomplete request. At the limit, where no idle one can be evicted or the stalled one was silent for longer, it rejects the oldest request that got no byte for 0.1 s, or that is not complete after 0.4 s, with 503 and Retry-After, and closes. Bytes that have arrived and are not read count as progress. The status line has the connections within a request and the counts of both kinds of closes.

Why this works: a stopped client holds its place for 0.1 s, so 100 connections let 1,000 such clients a second through, and the backlog of 512 is read within about half a second.

--- a/storage_gateway/http/client_connection.py
+++ b/storage_gateway/http/client_connection.py
@@ -15,6 +15,8 @@
 
 IDLE_TIMEOUT_S = 2.1  # of a connection that carries no request
 INCOMPLETE_HEAD_TIMEOUT_S = 0.6  # to complete a head that began before the idle timeout
+STALL_TIMEOUT_S = 0.1  # at the connection limit, for the next bytes of an incomplete request
+SLOW_REQUEST_TIMEOUT_S = 0.4  # at the connection limit, for all bytes of a request, from the first one
 LINGER_S = 0.25  # for a client to read its last response and close; data received meanwhile is dropped
 UNREAD_RESPONSE_TIMEOUT_S = 3.0  # for a client to read a response that exceeds the kernel's send buffer
 CLOSE_RETRY_INTERVAL_S = 0.02  # between checks of whether a connection can be closed
@@ -30,8 +32,11 @@
     def mark_idle(self, connection: ClientConnection) -> None:
         """Record that no request is in progress on the connection."""
 
+    def mark_receiving(self, connection: ClientConnection) -> None:
+        """Record that part of a request has been received on the connection."""
+
     def mark_busy(self, connection: ClientConnection) -> None:
-        """Record that the head of a request has been received on the connection."""
+        """Record that a complete request has been received on the connection."""
 
     def remove(self, connection: ClientConnection) -> None:
         """Remove a connection that has ended."""
@@ -45,6 +50,9 @@
         accepted_at: event loop time in seconds at which the connection was accepted.
         head_started_at: event loop time in seconds at which the first byte of an incomplete request head
             arrived; 0 if there is no incomplete head.
+        receiving_since: event loop time in seconds at which the first byte of an incomplete request, of its
+            head or its body, arrived; 0 if there is none.
+        last_received_at: event loop time in seconds at which the latest bytes of it arrived.
         request_is_complete: whether a request is in progress that has been received completely.
         graceful_transport: the transport; None until asyncio calls ``connection_made``.
 
@@ -76,6 +84,8 @@
         self.client_socket = client_socket
         self.accepted_at = loop.time()
         self.head_started_at = 0.0
+        self.receiving_since = 0.0
+        self.last_received_at = 0.0
         self.request_is_complete = False
         self.graceful_transport: GracefulTransport | None = None
         self._observer = observer
@@ -86,10 +96,17 @@
         self._is_handling_request = True
         self.head_started_at = 0.0
 
+    def complete_request(self) -> None:
+        """Record that the request in progress has been received completely and is valid."""
+        self.request_is_complete = True
+        self.receiving_since = 0.0
+        self._observer.mark_busy(self)
+
     def end_request(self) -> None:
         """Record that the response has been chosen; it may not be written yet."""
         self._is_handling_request = False
         self.request_is_complete = False
+        self.receiving_since = 0.0
         self._observer.mark_idle(self)
 
     def client_has_closed(self) -> bool:
@@ -106,6 +123,19 @@
             return False
         return not has_unread_data(transport)
 
+    def is_stalled(self) -> bool:
+        """Return whether the client has stopped within a request, or takes too long to send it.
+
+        Bytes that have arrived and are not read yet count as progress: the event loop may have been delayed.
+        """
+        transport = self.graceful_transport
+        if transport is None or transport.is_closing() or not self.receiving_since:
+            return False
+        now = self.loop_time()
+        has_stopped = now - self.last_received_at >= STALL_TIMEOUT_S
+        is_slow = now - self.receiving_since >= SLOW_REQUEST_TIMEOUT_S
+        return (has_stopped or is_slow) and not has_unread_data(transport)
+
     def is_safe_to_close(self) -> bool:
         """Return whether a close would fail no request that can still complete, nor truncate a response."""
         return self.is_evictable() or self._incomplete_head_timed_out()
@@ -116,6 +146,15 @@
         if self.graceful_transport:
             self.graceful_transport.abort()
 
+    def reject_incomplete_request(self, response: bytes) -> None:
+        """Send this response to a request that has not arrived completely, and close at once.
+
+        The response is small enough for the kernel's send buffer, which outlives the socket.
+        """
+        if self.graceful_transport:
+            self.graceful_transport.write(response)
+        self.evict()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Wrap the transport; called by asyncio."""
         assert isinstance(transport, asyncio.Transport)
@@ -141,10 +180,12 @@
             self.evict()
             return
         super().data_received(data)
-        if self.has_queued_requests():
-            self._observer.mark_busy(self)
-        elif not self._is_handling_request:
-            self.head_started_at = self.head_started_at or self.loop_time()
+        now = self.loop_time()
+        if not self.has_queued_requests() and not self._is_handling_request:
+            self.head_started_at = self.head_started_at or now
+        self.receiving_since = self.receiving_since or now
+        self.last_received_at = now
+        self._observer.mark_receiving(self)
 
     def idle_close_delay_s(self, overdue_s: float) -> float:
         """Defer the close while a head that has begun may still complete, or a response is being written."""
--- a/storage_gateway/http/connection_tracker.py
+++ b/storage_gateway/http/connection_tracker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterable
 
 from storage_gateway.http.client_connection import ClientConnection
 
@@ -10,41 +11,73 @@
 
 
 class ConnectionTracker:
-    """Tracks the open client connections; only its methods change the three collections.
+    """Tracks the open client connections; only its methods change the four collections.
 
     Attributes:
         open: all open connections.
-        never_used: connections without a request so far, the oldest first.
+        never_used: connections on which nothing has been received so far, the oldest first.
         idle: connections without a request in progress, including those never used; the longest idle first.
+        receiving: connections with an incomplete request, that of the earliest first byte first.
         max_connections: maximum number of open connections.
         max_idle_connections: maximum number of idle connections that have carried a request; beyond it, each
             response closes its connection.
+        incomplete_request_response: sent to a client whose incomplete request is rejected.
+        evicted: idle connections evicted at the limit since the last status line.
+        incomplete_rejected: incomplete requests rejected at the limit since the last status line.
     """
 
     def __init__(
-        self, max_connections: int, max_idle_connections: int, loop: asyncio.AbstractEventLoop
+        self,
+        max_connections: int,
+        max_idle_connections: int,
+        loop: asyncio.AbstractEventLoop,
+        incomplete_request_response: bytes,
     ) -> None:
         self.max_connections = max_connections
         self.max_idle_connections = max_idle_connections
+        self.incomplete_request_response = incomplete_request_response
         self.open: set[ClientConnection] = set()
         self.never_used: dict[ClientConnection, None] = {}  # a dict used as an ordered set
         self.idle: dict[ClientConnection, None] = {}
+        self.receiving: dict[ClientConnection, None] = {}
+        self.evicted = 0
+        self.incomplete_rejected = 0
         self._loop = loop
 
     def ensure_capacity(self) -> bool:
-        """Return whether one more connection may be accepted; at the limit, evict an idle one to make room.
+        """Return whether one more connection may be accepted; at the limit, close one to make room.
 
-        The oldest connection that was never used is evicted first, then the longest idle one. Right after a
-        flood of connections reaches the limit, none is old enough and new ones wait in the kernel's backlog.
+        The oldest connection that was never used is evicted first, then the longest idle one. If none can be,
+        or all that can be were active later, a request that has stalled before it was complete is rejected:
+        clients that stop within a request would otherwise hold all connections, while complete requests wait
+        in the kernel's backlog. Right after a flood of connections reaches the limit, none is old enough to
+        be closed and new ones wait there.
         """
         if len(self.open) < self.max_connections:
             return True
+        stalled = next((connection for connection in self.receiving if connection.is_stalled()), None)
+        unused = self._first_evictable(self.never_used)
+        if unused and stalled and stalled.last_received_at < unused.accepted_at:
+            self._reject_incomplete(stalled)
+        elif evictable := unused or self._first_evictable(self.idle):
+            evictable.evict()
+            self.evicted += 1
+        elif stalled:
+            self._reject_incomplete(stalled)
+        else:
+            return False
+        return True
+
+    def _first_evictable(self, connections: Iterable[ClientConnection]) -> ClientConnection | None:
         latest_accepted_at = self._loop.time() - MIN_EVICTION_AGE_S
-        for connection in [*self.never_used, *self.idle]:
+        for connection in connections:
             if connection.accepted_at <= latest_accepted_at and connection.is_evictable():
-                connection.evict()
-                return True
-        return False
+                return connection
+        return None
+
+    def _reject_incomplete(self, connection: ClientConnection) -> None:
+        connection.reject_incomplete_request(self.incomplete_request_response)
+        self.incomplete_rejected += 1
 
     def exceeds_idle_limit(self) -> bool:
         """Return whether too many connections that have carried a request are idle.
@@ -62,21 +95,41 @@
 
     def mark_idle(self, connection: ClientConnection) -> None:
         """Record that no request is in progress on the connection."""
+        self.receiving.pop(connection, None)
         self.idle[connection] = None
 
-    def mark_busy(self, connection: ClientConnection) -> None:
-        """Record that a request head was received: the connection is not evicted before the response."""
+    def mark_receiving(self, connection: ClientConnection) -> None:
+        """Record that part of a request was received: the connection is not idle before the response."""
         self.never_used.pop(connection, None)
         self.idle.pop(connection, None)
+        self.receiving[connection] = None
+
+    def mark_busy(self, connection: ClientConnection) -> None:
+        """Record that a complete request was received: nothing closes the connection before the response."""
+        self.receiving.pop(connection, None)
 
     def remove(self, connection: ClientConnection) -> None:
         """Remove a connection that has ended."""
         self.open.discard(connection)
         self.never_used.pop(connection, None)
         self.idle.pop(connection, None)
+        self.receiving.pop(connection, None)
 
     def evict_idle(self) -> None:
-        """Evict all idle connections whose close neither fails a request nor truncates a response."""
-        for connection in list(self.idle):
+        """Evict all connections whose close neither fails a request nor truncates a response."""
+        for connection in [*self.idle, *self.receiving]:
             if connection.is_safe_to_close():
                 connection.evict()
+
+    def status_fields(self) -> dict[str, object]:
+        """Return the fields of the status line, and reset the counts of closed connections."""
+        fields: dict[str, object] = {
+            "clients": len(self.open),
+            "clients_idle": len(self.idle),
+            "clients_receiving": len(self.receiving),
+            "clients_evicted": self.evicted,
+            "incomplete_rejected": self.incomplete_rejected,
+        }
+        self.evicted = 0
+        self.incomplete_rejected = 0
+        return fields
--- a/storage_gateway/http/server.py
+++ b/storage_gateway/http/server.py
@@ -60,7 +60,10 @@
         self.trace_ids = TraceIdRegistry()
         budget = config.connection_budget
         self.connections = ConnectionTracker(
-            budget.client_connections, budget.idle_client_connections, executor.loop
+            budget.client_connections,
+            budget.idle_client_connections,
+            executor.loop,
+            encode_incomplete_rejection(config.settings.max_retry_after_s),
         )
         self._aiohttp_server = web.Server(
             self._handle,
@@ -95,8 +98,8 @@
             await self.listener.wait_closed()
 
     def status_fields(self) -> dict[str, object]:
-        """Return the fields of the status line: the numbers of open and of idle client connections."""
-        return {"clients": len(self.connections.open), "clients_idle": len(self.connections.idle)}
+        """Return the fields of the status line: the client connections by state, and those closed early."""
+        return self.connections.status_fields()
 
     def _make_connection(self, client_socket: socket.socket) -> ClientConnection:
         connection = ClientConnection(
@@ -142,7 +145,7 @@
             return _bad_request(str(error))
         if connection.has_queued_requests():
             return _bad_request("expected one request at a time on a connection, found a pipelined one")
-        connection.request_is_complete = True
+        connection.complete_request()
         return await self._execute(client_request, arrived_at, connection)
 
     def _respond_to_head(self, request: web.BaseRequest) -> web.Response | None:
@@ -186,11 +189,26 @@
         case Served(body):
             return web.Response(body=body)
         case Rejected(retry_after_s):
-            headers = {"Retry-After": f"{retry_after_s:.3f}"} if retry_after_s > 0 else None
+            headers = _retry_headers(retry_after_s)
             return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE, headers=headers)
         case Failed():
             return web.Response(status=HTTPStatus.BAD_GATEWAY)
 
 
+def _retry_headers(retry_after_s: float) -> dict[str, str]:
+    return {"Retry-After": f"{retry_after_s:.3f}"} if retry_after_s > 0 else {}
+
+
+def encode_incomplete_rejection(retry_after_s: float) -> bytes:
+    """Encode the response to a request that stalls before it is complete while all connections are in use.
+
+    It is a rejection like that of the policy: nothing was executed, and a retry is safe.
+    """
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+    fields = {"Content-Length": "0", "Connection": "close", **_retry_headers(retry_after_s)}
+    lines = [f"HTTP/1.1 {status.value} {status.phrase}", *map(": ".join, fields.items()), "", ""]
+    return "\r\n".join(lines).encode("ascii")
+
+
 def _bad_request(reason: str) -> web.Response:
     return web.Response(status=HTTPStatus.BAD_REQUEST, text=f"{reason}\n")
