Count the time to live of a request that waited in the backlog from its arrival

The rule allows 0.15 s more than the client has left.

Cause: HttpServer took the time at which it read the head for the arrival. A connection that finds no capacity waits unread in the kernel's backlog, for up to about half a second also now that stalled requests are rejected.

Change: where accepting was held back, the listener asks the kernel for the age of the data that waits on the accepted socket (TCP_INFO, tcpi_last_data_recv), and limits it to the time for which accepting was held back, by the event loop's own clock. The deadline of the first request of the connection counts from there. Other requests make no further system call; where the kernel does not say, nothing changes.

--- a/storage_gateway/http/client_connection.py
+++ b/storage_gateway/http/client_connection.py
@@ -48,6 +48,8 @@
     Attributes:
         client_socket: the socket of the connection.
         accepted_at: event loop time in seconds at which the connection was accepted.
+        first_request_arrived_at: event loop time in seconds at which the first request arrived, if it waited
+            to be read; None if it did not, and for later requests.
         head_started_at: event loop time in seconds at which the first byte of an incomplete request head
             arrived; 0 if there is no incomplete head.
         receiving_since: event loop time in seconds at which the first byte of an incomplete request, of its
@@ -60,6 +62,7 @@
         server: aiohttp's server, which handles the requests.
         observer: is notified when this connection becomes idle, becomes busy or ends.
         client_socket: the socket of the connection.
+        waited_s: seconds that its first request has waited to be read until now.
         loop: the running event loop.
     """
 
@@ -68,6 +71,7 @@
         server: web.Server,
         observer: ConnectionObserver,
         client_socket: socket.socket,
+        waited_s: float,
         loop: asyncio.AbstractEventLoop,
     ) -> None:
         super().__init__(
@@ -83,6 +87,7 @@
         )
         self.client_socket = client_socket
         self.accepted_at = loop.time()
+        self.first_request_arrived_at: float | None = self.accepted_at - waited_s if waited_s else None
         self.head_started_at = 0.0
         self.receiving_since = 0.0
         self.last_received_at = 0.0
@@ -91,10 +96,13 @@
         self._observer = observer
         self._is_handling_request = False
 
-    def begin_request(self) -> None:
-        """Record that the handling of a request begins."""
+    def begin_request(self) -> float:
+        """Record that the handling of a request begins, and return for how many seconds it waited before."""
         self._is_handling_request = True
         self.head_started_at = 0.0
+        arrived_at = self.first_request_arrived_at
+        self.first_request_arrived_at = None
+        return 0.0 if arrived_at is None else self.loop_time() - arrived_at
 
     def complete_request(self) -> None:
         """Record that the request in progress has been received completely and is valid."""
--- a/storage_gateway/http/server.py
+++ b/storage_gateway/http/server.py
@@ -101,9 +101,9 @@
         """Return the fields of the status line: the client connections by state, and those closed early."""
         return self.connections.status_fields()
 
-    def _make_connection(self, client_socket: socket.socket) -> ClientConnection:
+    def _make_connection(self, client_socket: socket.socket, waited_s: float) -> ClientConnection:
         connection = ClientConnection(
-            self._aiohttp_server, self.connections, client_socket, self.executor.loop
+            self._aiohttp_server, self.connections, client_socket, waited_s, self.executor.loop
         )
         self.connections.add(connection)
         return connection
@@ -112,9 +112,9 @@
         """Handle one request, from its complete head to its response."""
         connection = request.protocol
         assert isinstance(connection, ClientConnection)
-        connection.begin_request()
+        arrived_at = self.executor.now() - connection.begin_request()
         try:
-            response = await self._respond(request, connection)
+            response = await self._respond(request, connection, arrived_at)
         finally:
             connection.end_request()
         if (
@@ -126,8 +126,9 @@
             response.force_close()  # announced in the response, so that no further request crosses the close
         return response
 
-    async def _respond(self, request: web.BaseRequest, connection: ClientConnection) -> web.Response:
-        arrived_at = self.executor.now()
+    async def _respond(
+        self, request: web.BaseRequest, connection: ClientConnection, arrived_at: float
+    ) -> web.Response:
         early_response = self._respond_to_head(request)
         if early_response is not None:
             return early_response
--- a/storage_gateway/http/sockets.py
+++ b/storage_gateway/http/sockets.py
@@ -5,7 +5,13 @@
 import asyncio
 import select
 import socket
+import struct
 
+# Offset and format of ``tcpi_last_data_recv`` in Linux's ``struct tcp_info``: milliseconds since the latest
+# data arrived.
+_LAST_DATA_OFFSET = 52
+_LAST_DATA_FORMAT = "=I"
+_LAST_DATA_END = _LAST_DATA_OFFSET + struct.calcsize(_LAST_DATA_FORMAT)
 _PEER_CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
 
 
@@ -48,3 +54,20 @@
         return False
     except OSError:
         return True
+
+
+def unread_data_age_s(connected_socket: socket.socket) -> float:
+    """Return the seconds since the latest data arrived that has not been read; 0 if there is none.
+
+    The kernel measures it with a resolution of some milliseconds. Where it does not say, the age counts as 0.
+    """
+    if not is_readable(connected_socket.fileno()):
+        return 0.0
+    try:
+        info = connected_socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _LAST_DATA_END)
+    except OSError:
+        return 0.0
+    if len(info) < _LAST_DATA_END:
+        return 0.0
+    (age_ms,) = struct.unpack_from(_LAST_DATA_FORMAT, info, _LAST_DATA_OFFSET)
+    return float(age_ms / 1000)
