Do not time out on a list that has arrived while other tasks run between its parts

Cause, found by reading what reading in parts changed: the timeouts of a call to discovery (1 s for a first message, 3 s for later ones) went on while the gateway ran other tasks between the parts of a list that had arrived. A busy gateway would have timed out, opened the watch again and got the whole list again, and been busier for it. When the list was read in one go, no timeout could come in between.

Change: the timeout is postponed by the time for which other tasks run; waiting for data counts as before, and the list that a call fetches is validated after its timeout has been left.

Test: test_time_of_other_tasks_does_not_count_towards_the_timeout failed before (TimeoutError; it advances the event loop's clock by 1 s an iteration). test_time_without_data_counts_towards_the_timeout holds the other side.

--- a/storage_gateway/endpoints/watch.py
+++ b/storage_gateway/endpoints/watch.py
@@ -123,7 +123,8 @@
             asyncio.timeout(self._owner.call_timeout_s),
             session.get(self._url, raise_for_status=True) as response,
         ):
-            update = await read_update(decode_json(await response.read()))
+            text = await response.read()
+        update = await read_update(decode_json(text))
         self._publish(update, api.EndpointUpdateKind.SNAPSHOT)
         self._owner.supersede_older_watches(self)
 
@@ -138,14 +139,14 @@
         loop = asyncio.get_running_loop()
         async with asyncio.timeout(self._owner.call_timeout_s) as timeout:
             async with session.get(self._url, params=parameters, raise_for_status=True) as response:
-                async for line in read_lines(response.content, MAX_MESSAGE_BYTES):
+                async for line in read_lines(response.content, MAX_MESSAGE_BYTES, timeout):
                     message = assembler.add(line)
                     if message is None:
                         continue
                     timeout.reschedule(loop.time() + IDLE_TIMEOUT_S)
                     self._record_message(len(line))
                     if not message.is_blank:
-                        self._publish(await read_update(message.value))
+                        self._publish(await read_update(message.value, timeout))
             assembler.end()
 
     def _record_message(self, line_bytes: int) -> None:
