Do not take a request for stalled that has arrived and waits only for the gateway

Change: a request whose head waits for its handler, or whose body has ended, is not stalled. The connection keeps the body of the request that is handled in place of a flag. begin_request no longer returns a waiting time as well; waiting_time_s does. Accepting that is held back for want of a descriptor now counts as waiting time too, as for want of a connection.

--- a/storage_gateway/http/client_connection.py
+++ b/storage_gateway/http/client_connection.py
@@ -7,7 +7,7 @@
 from typing import Protocol
 
 import structlog
-from aiohttp import web
+from aiohttp import StreamReader, web
 
 from storage_gateway.http.aiohttp_internals import InspectableRequestHandler
 from storage_gateway.http.graceful_transport import GracefulTransport
@@ -94,14 +94,16 @@
         self.request_is_complete = False
         self.graceful_transport: GracefulTransport | None = None
         self._observer = observer
-        self._is_handling_request = False
+        self._body: StreamReader | None = None  # of the request that is being handled; None if there is none
 
-    def begin_request(self) -> float:
-        """Record that the handling of a request begins, and return for how many seconds it waited before."""
-        self._is_handling_request = True
+    def begin_request(self, body: StreamReader) -> None:
+        """Record that the handling of a request begins, whose body arrives on this stream."""
+        self._body = body
         self.head_started_at = 0.0
+
+    def waiting_time_s(self) -> float:
+        """Return for how many seconds the request in progress had waited to be read, and has been since."""
         arrived_at = self.first_request_arrived_at
-        self.first_request_arrived_at = None
         return 0.0 if arrived_at is None else self.loop_time() - arrived_at
 
     def complete_request(self) -> None:
@@ -112,9 +114,10 @@
 
     def end_request(self) -> None:
         """Record that the response has been chosen; it may not be written yet."""
-        self._is_handling_request = False
+        self._body = None
         self.request_is_complete = False
         self.receiving_since = 0.0
+        self.first_request_arrived_at = None
         self._observer.mark_idle(self)
 
     def client_has_closed(self) -> bool:
@@ -134,11 +137,14 @@
     def is_stalled(self) -> bool:
         """Return whether the client has stopped within a request, or takes too long to send it.
 
-        Bytes that have arrived and are not read yet count as progress: the event loop may have been delayed.
+        What has arrived and is not read or handled yet counts as progress: the event loop may have been
+        delayed.
         """
         transport = self.graceful_transport
         if transport is None or transport.is_closing() or not self.receiving_since:
             return False
+        if self.has_queued_requests() or (self._body is not None and self._body.is_eof()):
+            return False
         now = self.loop_time()
         has_stopped = now - self.last_received_at >= STALL_TIMEOUT_S
         is_slow = now - self.receiving_since >= SLOW_REQUEST_TIMEOUT_S
@@ -189,7 +195,7 @@
             return
         super().data_received(data)
         now = self.loop_time()
-        if not self.has_queued_requests() and not self._is_handling_request:
+        if not self.has_queued_requests() and self._body is None:
             self.head_started_at = self.head_started_at or now
         self.receiving_since = self.receiving_since or now
         self.last_received_at = now
--- a/storage_gateway/http/listener.py
+++ b/storage_gateway/http/listener.py
@@ -80,6 +80,7 @@
         self.loop.add_reader(self.socket, self._accept)
 
     def _pause(self) -> None:
+        self.waiting_since = self.waiting_since or self.loop.time()
         self.loop.remove_reader(self.socket)
         self.resume_timer = self.loop.call_later(CAPACITY_POLL_INTERVAL_S, self._resume)
 
@@ -89,7 +90,6 @@
                 self.waiting_since = None
                 return
             if not self._has_capacity():
-                self.waiting_since = self.waiting_since or self.loop.time()
                 self._pause()
                 return
             try:
--- a/storage_gateway/http/server.py
+++ b/storage_gateway/http/server.py
@@ -112,9 +112,9 @@
         """Handle one request, from its complete head to its response."""
         connection = request.protocol
         assert isinstance(connection, ClientConnection)
-        arrived_at = self.executor.now() - connection.begin_request()
+        connection.begin_request(request.content)
         try:
-            response = await self._respond(request, connection, arrived_at)
+            response = await self._respond(request, connection)
         finally:
             connection.end_request()
         if (
@@ -126,9 +126,8 @@
             response.force_close()  # announced in the response, so that no further request crosses the close
         return response
 
-    async def _respond(
-        self, request: web.BaseRequest, connection: ClientConnection, arrived_at: float
-    ) -> web.Response:
+    async def _respond(self, request: web.BaseRequest, connection: ClientConnection) -> web.Response:
+        arrived_at = self.executor.now() - connection.waiting_time_s()
         early_response = self._respond_to_head(request)
         if early_response is not None:
             return early_response
--- a/tests/http/test_connection_tracker.py
+++ b/tests/http/test_connection_tracker.py
@@ -168,6 +168,23 @@
         assert not self.server.connections.ensure_capacity()
         assert (await self.receive(client, b"tile")).startswith(b"HTTP/1.1 200 ")
 
+    async def test_request_that_the_event_loop_has_read_but_not_handled_is_not_stalled(self) -> None:
+        """Guards against rejecting a complete request because the gateway itself was held up."""
+        head, body = await self.start_full_server(INCOMPLETE_HEAD, INCOMPLETE_BODY)
+        self.set_stall_timeouts(stall_s=0, slow_request_s=0)
+        stalled_after_reading: list[bool] = []
+        data_received = ClientConnection.data_received
+
+        def read_and_check(connection: ClientConnection, data: bytes) -> None:
+            data_received(connection, data)  # the task that handles the request runs in a later iteration
+            stalled_after_reading.append(connection.is_stalled())
+
+        with mock.patch.object(ClientConnection, "data_received", read_and_check):
+            for client, rest in ((body, b"rest!"), (head, encode_request("stopped")[-9:])):
+                client.sendall(rest)
+                await self.receive(client, b"HTTP/1.1 ")
+        assert set(stalled_after_reading) == {False}
+
     async def test_request_in_progress_is_not_rejected_however_long_it_takes(self) -> None:
         self.set_stall_timeouts(stall_s=0, slow_request_s=0)
         await self.start_server(never_respond)
--- a/tests/http/test_listener.py
+++ b/tests/http/test_listener.py
@@ -124,5 +124,4 @@
     async def test_only_the_first_request_of_a_connection_has_waited(self) -> None:
         await self.told_timeout_ms(unread_age_s=1.0, timeout_ms=1500)
         (connection,) = self.server.connections.open
-        assert connection.begin_request() == 0.0
-        connection.end_request()
+        assert connection.waiting_time_s() == 0.0
