--- a/storage_gateway/endpoints/cooperative.py
+++ b/storage_gateway/endpoints/cooperative.py
@@ -13,6 +13,7 @@
 import aiohttp
 
 from storage_gateway.endpoints.codec import read_endpoints, read_raw_update
+from storage_gateway.endpoints.message_assembler import ERROR_FIELD
 from storage_gateway.endpoints.registry import Endpoint, EndpointUpdate
 from storage_gateway.errors import ProtocolError
 
@@ -45,7 +46,7 @@
                 line_start.clear()
             line_start += rest
             if len(line_start) > max_line_bytes:
-                raise ProtocolError("endpoint watch", f"a line is longer than {max_line_bytes} bytes")
+                raise ProtocolError(ERROR_FIELD, f"a line is longer than {max_line_bytes} bytes")
     if line_start:
         yield bytes(line_start)
 
--- a/storage_gateway/http/client_connection.py
+++ b/storage_gateway/http/client_connection.py
@@ -36,7 +36,7 @@
         """Record that part of a request has been received on the connection."""
 
     def mark_busy(self, connection: ClientConnection) -> None:
-        """Record that a complete request has been received on the connection."""
+        """Record that no more of a request is awaited: it is complete, or cannot be parsed or handled."""
 
     def remove(self, connection: ClientConnection) -> None:
         """Remove a connection that has ended."""
@@ -50,8 +50,6 @@
         accepted_at: event loop time in seconds at which the connection was accepted.
         first_request_arrived_at: event loop time in seconds at which the first request arrived, if it waited
             to be read; None if it did not, and for later requests.
-        head_started_at: event loop time in seconds at which the first byte of an incomplete request head
-            arrived; 0 if there is no incomplete head.
         receiving_since: event loop time in seconds at which the first byte of an incomplete request, of its
             head or its body, arrived; 0 if there is none.
         last_received_at: event loop time in seconds at which the latest bytes of it arrived.
@@ -88,7 +86,6 @@
         self.client_socket = client_socket
         self.accepted_at = loop.time()
         self.first_request_arrived_at: float | None = self.accepted_at - waited_s if waited_s else None
-        self.head_started_at = 0.0
         self.receiving_since = 0.0
         self.last_received_at = 0.0
         self.request_is_complete = False
@@ -99,7 +96,6 @@
     def begin_request(self, body: StreamReader) -> None:
         """Record that the handling of a request begins, whose body arrives on this stream."""
         self._body = body
-        self.head_started_at = 0.0
 
     def waiting_time_s(self) -> float:
         """Return for how many seconds the request in progress had waited to be read, and has been since."""
@@ -130,7 +126,7 @@
         transport = self.graceful_transport
         if transport is None or transport.is_closing() or not self.is_waiting_for_request():
             return False
-        if self.head_started_at or transport.get_write_buffer_size():
+        if self.receiving_since or transport.get_write_buffer_size():
             return False
         return not has_unread_data(transport)
 
@@ -194,11 +190,8 @@
             self.evict()
             return
         super().data_received(data)
-        now = self.loop_time()
-        if not self.has_queued_requests() and self._body is None:
-            self.head_started_at = self.head_started_at or now
-        self.receiving_since = self.receiving_since or now
-        self.last_received_at = now
+        self.last_received_at = self.loop_time()
+        self.receiving_since = self.receiving_since or self.last_received_at
         self._observer.mark_receiving(self)
 
     def idle_close_delay_s(self, overdue_s: float) -> float:
@@ -227,9 +220,13 @@
         """
         if status == 500:
             log.error("handler_failed", exc_info=exc)
+        self.receiving_since = 0.0
+        self._observer.mark_busy(self)
         response = web.Response(status=status, text="the request could not be parsed or handled\n")
         response.force_close()
         return response
 
     def _incomplete_head_timed_out(self) -> bool:
-        return 0 < self.head_started_at <= self.loop_time() - INCOMPLETE_HEAD_TIMEOUT_S
+        if self.has_queued_requests() or self._body is not None:
+            return False  # the head is complete
+        return 0 < self.receiving_since <= self.loop_time() - INCOMPLETE_HEAD_TIMEOUT_S
--- a/storage_gateway/http/connection_tracker.py
+++ b/storage_gateway/http/connection_tracker.py
@@ -110,7 +110,7 @@
         self.receiving[connection] = None
 
     def mark_busy(self, connection: ClientConnection) -> None:
-        """Record that a complete request was received: nothing closes the connection before the response."""
+        """Record that no more of a request is awaited: nothing closes the connection before the response."""
         self.receiving.pop(connection, None)
 
     def remove(self, connection: ClientConnection) -> None:
--- a/tests/endpoints/test_discovery.py
+++ b/tests/endpoints/test_discovery.py
@@ -19,9 +19,9 @@
     make_chunk,
     no_response,
     snapshot,
-    wait_until,
 )
 from tests.support.peers import FakeDiscovery
+from tests.support.polling import wait_until
 
 UNUSED_ADDRESS = Address("127.0.0.1", 1)
 
--- a/tests/endpoints/test_watch.py
+++ b/tests/endpoints/test_watch.py
@@ -23,8 +23,8 @@
     snapshot,
     trickling_message,
     truncated_message,
-    wait_until,
 )
+from tests.support.polling import wait_until
 
 LIST_TARGET = "/discovery/hosts"
 WATCH_TARGET = "/discovery/hosts?watch=1&after=7"
--- a/tests/http/test_client_connection.py
+++ b/tests/http/test_client_connection.py
@@ -43,8 +43,8 @@
         await self.start_server(respond_at_once)
         with mock.patch.object(client_connection, "IDLE_TIMEOUT_S", 0.2):
             reader, writer = await self.open_stream(encode_request("t")[:9])
-            connection = await self.only_connection(lambda candidate: candidate.head_started_at)
-            connection.head_started_at += 60  # as if it had just arrived, however slowly the event loop runs
+            connection = await self.only_connection(lambda candidate: candidate.receiving_since)
+            connection.receiving_since += 60  # as if it had just arrived, however slowly the event loop runs
             await asyncio.sleep(0.3)
             writer.write(encode_request("t")[9:])
             assert b" 200 " in await reader.readline()
--- a/tests/http/test_shutdown.py
+++ b/tests/http/test_shutdown.py
@@ -65,7 +65,7 @@
         client = self.open_socket()
         client.sendall(encode_request("t")[:40])
         await self.wait_until(
-            lambda: any(connection.head_started_at for connection in self.server.connections.open)
+            lambda: any(connection.receiving_since for connection in self.server.connections.open)
         )
 
         closing = asyncio.create_task(self.server.close())
--- a/tests/sftp/test_server.py
+++ b/tests/sftp/test_server.py
@@ -7,7 +7,8 @@
 from storage_gateway.sftp import packets
 from storage_gateway.sftp.codec import encode_packet
 from storage_gateway.sftp.server import SftpServer
-from tests.support.sftp import FakeSftpNode, SftpServerCase, make_sftp_config, wait_until
+from tests.support.polling import wait_until
+from tests.support.sftp import FakeSftpNode, SftpServerCase, make_sftp_config
 
 
 class SftpServerTest(SftpServerCase):
--- a/tests/sftp/test_session.py
+++ b/tests/sftp/test_session.py
@@ -7,13 +7,13 @@
 from storage_gateway.sftp import packets
 from storage_gateway.sftp.codec import encode_packet, pack_uint32
 from storage_gateway.sftp.fields import OpenFlags, StatusCode
+from tests.support.polling import wait_until
 from tests.support.sftp import (
     NO_ATTRIBUTES,
     STORE_FLAGS,
     FakeSftpNode,
     SftpServerCase,
     assert_status,
-    wait_until,
 )
 
 
--- a/tests/support/failing_discovery.py
+++ b/tests/support/failing_discovery.py
@@ -1,4 +1,4 @@
-"""Discovery services that fail in scripted ways, and a helper that polls a condition."""
+"""Discovery services that fail in scripted ways."""
 
 from __future__ import annotations
 
@@ -15,20 +15,10 @@
 DRAINING: dict[str, Any] = {"generation": 8, "reset": False, "instances": [DRAINING_ENTRY]}
 WATCH_HEAD = b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n"
 
-POLL_INTERVAL_S = 0.005
-
 Responder = Callable[[asyncio.StreamWriter], Awaitable[None]]
 """Writes the response to one call; the connection is closed when it returns."""
 
 
-async def wait_until(condition: Callable[[], bool]) -> None:
-    """Poll until the condition holds; the state that it reads, such as a failure count, sets no event."""
-    while True:
-        if condition():
-            return
-        await asyncio.sleep(POLL_INTERVAL_S)
-
-
 class BusyDiscovery(FakePeer):
     """Rejects the first ``failures`` calls with 503, then sends one empty message to each watch."""
 
--- a/tests/support/http.py
+++ b/tests/support/http.py
@@ -22,6 +22,7 @@
 from tests.support.configuration import make_config
 from tests.support.endpoints import apply_endpoints, make_endpoint
 from tests.support.peers import FakeHttpNode
+from tests.support.polling import wait_until
 
 HEADERS = {
     "X-Qos": "tile-read",
@@ -32,7 +33,6 @@
 TARGET = "/api?block=7f3a9c21e0b4d655"
 NODE_ID = 1  # the first id that the registry assigns, so that of the scripted node
 WAIT_TIMEOUT_S = 5.0  # a test that waits longer for a condition or for data fails
-POLL_INTERVAL_S = 0.005
 
 
 def make_target(object_key: int) -> str:
@@ -121,10 +121,7 @@
     async def wait_until(self, condition: Callable[[], Any]) -> None:
         """Poll until the condition holds; fail after ``WAIT_TIMEOUT_S``."""
         async with asyncio.timeout(WAIT_TIMEOUT_S):
-            while True:
-                if condition():
-                    return
-                await asyncio.sleep(POLL_INTERVAL_S)
+            await wait_until(condition)
 
     async def only_connection(self, condition: Callable[[ClientConnection], Any]) -> ClientConnection:
         """Wait until a client connection meets the condition, and return that connection, the only one."""
--- a/tests/support/sftp.py
+++ b/tests/support/sftp.py
@@ -181,14 +181,6 @@
     assert message_part in status.message
 
 
-async def wait_until(condition: Callable[[], bool]) -> None:
-    """Poll until the condition holds, as no event reports it; the caller sets the timeout."""
-    while True:
-        if condition():
-            return
-        await asyncio.sleep(0.005)
-
-
 class SftpServerCase(unittest.IsolatedAsyncioTestCase):
     """A test case with an SFTP server for one volume, ``/plats``, and fake storage nodes."""
 
