Import ijson only once an endpoint message has several lines

Each start of the gateway imported it for lists on one line too.

Test: test_process_without_an_indented_message_does_not_load_the_incremental_parser failed with the import at the top of the module.

--- a/storage_gateway/endpoints/message_assembler.py
+++ b/storage_gateway/endpoints/message_assembler.py
@@ -7,8 +7,6 @@
 from dataclasses import dataclass
 from typing import Any
 
-import ijson
-
 from storage_gateway.endpoints.codec import decode_json
 from storage_gateway.errors import ProtocolError
 
@@ -38,7 +36,7 @@
 
     def __init__(self) -> None:
         self._incomplete = bytearray()
-        self._nesting = _NestingParser()
+        self._nesting: _NestingParser | None = None  # of the incomplete message; None if there is none
 
     def add(self, line: bytes) -> WatchMessage | None:
         """Add a line with its newline.
@@ -57,15 +55,17 @@
             return WatchMessage(is_blank=True)
         if len(self._incomplete) + len(line) > MAX_MESSAGE_BYTES:
             raise ProtocolError(ERROR_FIELD, f"a message is longer than {MAX_MESSAGE_BYTES} bytes")
-        if not self._incomplete and (message := _decode_single_line(line)):
-            return message
+        if self._nesting is None:
+            if message := _decode_single_line(line):
+                return message
+            self._nesting = _NestingParser()
         self._incomplete += line
         self._nesting.feed(line)
         if not self._nesting.is_complete:
             return None
         message = WatchMessage(decode_json(bytes(self._incomplete), ERROR_FIELD))
         self._incomplete = bytearray()
-        self._nesting = _NestingParser()
+        self._nesting = None
         return message
 
     def end(self) -> None:
@@ -82,10 +82,14 @@
     """Checks the syntax of one JSON value as its lines arrive, and finds its end.
 
     It is also the target of the events of ijson's parser, whose lowest level keeps no path: with one, memory
-    would grow with the square of the nesting depth.
+    would grow with the square of the nesting depth. ijson is imported only once a message has several lines:
+    many discovery services send none, and every start of the gateway would take longer.
     """
 
     def __init__(self) -> None:
+        import ijson
+
+        self._error_types = (ijson.JSONError, ValueError)
         self._depth = 0
         self._parser: Generator[None, bytes, None] = ijson.basic_parse_coro(self)
 
@@ -102,7 +106,7 @@
         """
         try:
             self._parser.send(line)
-        except (ijson.JSONError, ValueError) as error:
+        except self._error_types as error:
             reason, _, _ = str(error).partition("\n")  # the following lines mark the position
             raise ProtocolError(ERROR_FIELD, reason) from error
 
--- a/tests/endpoints/test_message_assembler.py
+++ b/tests/endpoints/test_message_assembler.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import subprocess
+import sys
 import unittest
 from typing import Any
 from unittest import mock
@@ -13,6 +15,7 @@
 from storage_gateway.endpoints.message_assembler import WatchMessage, WatchMessageAssembler
 from storage_gateway.errors import ProtocolError
 from tests.support.endpoints import indented_snapshot, snapshot_of_fleet
+from tests.support.project import ROOT
 
 
 class WatchMessageAssemblerTest(unittest.TestCase):
@@ -102,3 +105,14 @@
             assert self.assembler.add(b"{\n") is None
             with pytest.raises(ProtocolError, match="a message is longer than 8 bytes"):
                 self.assembler.add(b'"abcdef":\n')
+
+
+def test_process_without_an_indented_message_does_not_load_the_incremental_parser() -> None:
+    program = (
+        "import sys, storage_gateway.service\n"
+        "from storage_gateway.endpoints.message_assembler import WatchMessageAssembler\n"
+        "WatchMessageAssembler().add(b'{}' + bytes([10]))\n"
+        "print('ijson' in sys.modules)"
+    )
+    result = subprocess.run([sys.executable, "-c", program], cwd=ROOT, capture_output=True, text=True)
+    assert result.stdout.strip() == "False", result.stderr
