--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""A chunk server that dies and comes back: do the requests that waited for it keep the limit of their plan?"""
+"""A chunk server that dies and comes back: do requests that waited for it keep the limit of their plan?"""
 
 from __future__ import annotations
 
