End the processes of a stopped review case, and exit with 2 if the case itself fails

Cause: an unexpected error of a case would have ended it with 1, as if the rule were broken, and SIGTERM would have left its front running.

--- a/review/support_2.py
+++ b/review/support_2.py
@@ -496,13 +496,16 @@
     record = Record(folder)
 
     async def run() -> int:
+        task = asyncio.current_task()
+        assert task
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)  # ends the processes too
         with tempfile.TemporaryDirectory() as temporary:
             async with asyncio.timeout(CASE_LIMIT_S):
                 return await main(record, Path(temporary))
 
     try:
         status = asyncio.run(run())
-    except (CaseError, TimeoutError, OSError, EOFError) as error:
+    except (Exception, asyncio.CancelledError) as error:  # a fault of the case says nothing about the rule
         record.add(f"not run: {type(error).__name__}: {error}")
         status = EXIT_NOT_RUN
     verdict = {EXIT_HELD: "held", EXIT_BROKEN: "BROKEN", EXIT_NOT_RUN: "not run"}[status]
