--- a/review/10/case.py
+++ b/review/10/case.py
@@ -92,7 +92,7 @@
     """Return how many requests of mean work the server withstands in the time that the settings name."""
     allowed = TIP_MULTIPLE * TIP_AFTER_S * server.capacity_share(now) / WORK_S
     if allowed < 30:
-        return allowed + 3 * math.sqrt(allowed + 3)
+        return allowed + 3 * math.sqrt(allowed) + 3
     return allowed + 2 * math.sqrt(allowed) + 2
 
 
