--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,11 +1,9 @@
-"""A chunk server that is cold and fails its requests at once: is it sent more than it withstands?"""
+"""Discovery that is slow to answer: does the front stop sending to a chunk server that drains?"""
 
 from __future__ import annotations
 
 import asyncio
-import math
 import time
-from contextlib import suppress
 from pathlib import Path
 
 from support_2 import (
@@ -18,7 +16,6 @@
     Client,
     Front,
     Record,
-    body_of,
     encode_request,
     make_settings,
     run_case,
@@ -26,122 +23,112 @@
     whole_answer,
 )
 
-SERVERS = 8  # one of them fails
-WORK_S = 0.04  # of a request of mean size at a warm server, which works on one at a time
-RATE = 15.0  # requests a second for each shard: 0.6 of what its server can do
-WARM_UP_S = 12.0
-COLD_S = 6.0  # of the load after the restart
-DOWN_S = 0.3
-TOLD_SLACK_S = 0.2  # 0.05 s for sockets, 0.15 s for a front that is held up
-COLD_FROM, RAMP_TIME_S, TIP_MULTIPLE, TIP_AFTER_S = 0.15, 17.0, 2.0, 1.0  # as the settings say
+ANSWER_AFTER_S = 2.0  # of each call to the slow discovery service
+TOLD_WITHIN_S = 6.0  # after discovery had the change and could be reached
+SOCKET_SLACK_S = 0.05
+HELD_UP_S = 0.15  # between the front's clock and its write
+STOP_SENDING_WITHIN_S = 2.0  # as the settings say
+WATCHED_S = 13.0  # after the change
+REQUEST_EVERY_S = 0.1
 
 
-class Server(ChunkServer):
-    """A chunk server that works on one request at a time, more slowly while it is cold."""
+class Discovery(Agent):
+    """A discovery service that the fronts have to ask; each call waits its turn before it is answered."""
+
+    answer_after_s = 0.0
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Answer calls for the list; a watch lasts until its connection ends."""
+        while True:
+            target = (await reader.readuntil(b"\r\n\r\n")).decode().split(" ")[1]
+            self.record.add(f"{self.name}: call {target}")
+            await asyncio.sleep(self.answer_after_s)
+            if "watch=1" in target:
+                await self.send_changes(writer, target)
+                return
+            await self.send_list(writer)
 
-    started_at: float | None = None  # None: long ago
-    fails = False
-    free_at = 0.0
 
-    def capacity_share(self, now: float) -> float:
-        """Return the share of its full capacity that it has now."""
-        if self.started_at is None:
-            return 1.0
-        return min(1.0, COLD_FROM + (1 - COLD_FROM) * (now - self.started_at) / RAMP_TIME_S)
+class Server(ChunkServer):
+    """A chunk server that turns new work away once it drains."""
+
+    drains = False
 
-    async def work(
+    async def answer_or_turn_away(
         self, request: Arrived, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
-        """Serve the request in turn of arrival, or fail it at once."""
-        if self.fails:
-            writer.write(whole_answer(b"", status="500 Internal Server Error"))
-            await writer.drain()
-            return True
-        now = time.monotonic()
-        self.free_at = max(self.free_at, now) + WORK_S / self.capacity_share(now)
-        await asyncio.sleep(self.free_at - now)
-        if writer.is_closing():
-            return False
-        writer.write(whole_answer(body_of(request)))
+        """Serve the request, or turn it away unrun."""
+        if self.drains:
+            writer.write(whole_answer(b"", "X-Never-Ran: 1", status="503 Draining"))
+        else:
+            writer.write(whole_answer(b"the answer made for " + request.trace_id.encode()))
         await writer.drain()
         return True
 
 
-async def send_read(front: Front, shard: int, number: int) -> None:
-    """Send one read of mean size on a connection of its own."""
-    with suppress(OSError, EOFError):
-        client = await Client.connect(front.port)
-        await client.ask(encode_request(f"r-{shard}-{number}", 100_000 * shard + number, shard=shard))
-        client.close()
+async def patient_watch(discovery: Discovery, record: Record) -> None:
+    """Record how long a caller that waits for its answer takes to hear of the change."""
+    started_at = time.monotonic()
+    reader, writer = await asyncio.open_connection("127.0.0.1", discovery.port)
+    writer.write(b"GET /discovery/hosts?watch=1&after=40 HTTP/1.1\r\nHost: discovery\r\n\r\n")
+    while b"DRAINING" not in await reader.readline():
+        pass
+    record.add(f"a patient watch heard of the change after {time.monotonic() - started_at:.2f} s")
+    writer.transport.abort()
 
 
-async def load(front: Front, seconds: float, first_number: int) -> None:
-    """Send reads for each shard at an even rate."""
-    start = time.monotonic()
-    count = int(seconds * RATE)
-    reads = []
-    for number in range(count):
-        for shard in range(SERVERS):
-            due = start + (number + shard / SERVERS) / RATE
-            await asyncio.sleep(max(0.0, due - time.monotonic()))
-            reads.append(asyncio.create_task(send_read(front, shard, first_number + number)))
-    await asyncio.gather(*reads)
-
-
-def limit_at(server: Server, now: float) -> float:
-    """Return how many requests of mean work the server withstands in the time that the settings name."""
-    allowed = TIP_MULTIPLE * TIP_AFTER_S * server.capacity_share(now) / WORK_S
-    if allowed < 30:
-        return allowed + 3 * math.sqrt(allowed) + 3
-    return allowed + 2 * math.sqrt(allowed) + 2
-
-
-def worst_window(server: Server, told_at: float, record: Record) -> float:
-    """Return the largest excess over the limit in a window after the front was told of the start."""
-    times = [arrived.arrived_at for arrived in server.arrived if arrived.arrived_at > told_at + TOLD_SLACK_S]
-    worst = -math.inf
-    for now in times:
-        count = sum(now - TIP_AFTER_S < earlier <= now for earlier in times)
-        limit = limit_at(server, now)
-        if count - limit > worst:
-            worst = count - limit
-            record.add(f"window to {now - told_at:.2f} s: {count} requests arrived, limit {limit:.1f}")
-    return worst
+async def send_requests(front: Front, record: Record) -> None:
+    """Send a read for the shard every 0.1 s."""
+    until = time.monotonic() + WATCHED_S
+    number = 0
+    while time.monotonic() < until:
+        number += 1
+        client = await Client.connect(front.port)
+        status, _ = await client.ask(encode_request(f"r-{number}", number))
+        record.add(f"client: r-{number} got {status}")
+        client.close()
+        await asyncio.sleep(REQUEST_EVERY_S)
 
 
 async def main(record: Record, folder: Path) -> int:
-    """Restart one server under an even load, and count what reaches it while it is cold."""
-    servers = [Server(f"s-0000000{cell}", cell, record) for cell in range(SERVERS)]
-    for server in servers:
-        server.answer = server.work
-        await server.start()
-    agent = await Agent(record).start()
-    agent.list_all(*[server.entry() for server in servers])
-    front = await Front(
-        "n0", folder, {"discovery": agent.address, "settings": make_settings()}, record
-    ).start()
-    cold = servers[0]
+    """Let a chunk server drain, and see until when requests reach it."""
+    old = await Server("s-5be2a07c", 0, record).start()
+    new = await Server("s-77c1e90d", 0, record).start()
+    old.answer, new.answer = old.answer_or_turn_away, new.answer_or_turn_away
+    discovery = Discovery(record, "discovery")
+    await discovery.start()
+    discovery.list_all(old.entry())
+    discovery.answer_after_s = ANSWER_AFTER_S if trouble_is_on() else 0.0
+    settings = make_settings(Discovery="subscribe", Siblings=3)
+    settings["Safety"]["AskEveryS"] = 10.0
+    config = {"discovery": discovery.address, "settings": settings, "known": discovery.whole_list()}
+    front = await Front("n0", folder, config, record).start()
+    patient = None
     try:
-        await load(front, WARM_UP_S, 0)
-        record.add(f"{cold.name} restarts")
-        cold.stop()
-        await asyncio.sleep(DOWN_S)
-        cold.started_at, cold.free_at, cold.fails = time.monotonic(), 0.0, trouble_is_on()
-        await cold.start()
-        agent.change(cold.entry(started_at_ms=int(time.time() * 1000)))
-        told_at = time.monotonic()
-        await load(front, COLD_S, 50_000)
+        await asyncio.sleep(2.0)
+        discovery.change(new.entry(), old.entry("DRAINING"))
+        changed_at = time.monotonic()
+        old.drains = True
+        patient = asyncio.create_task(patient_watch(discovery, record))
+        await send_requests(front, record)
     finally:
+        if patient:
+            patient.cancel()
         await front.kill()
-        agent.stop()
-        for server in servers:
-            server.stop()
-    after = [arrived.trace_id for arrived in cold.arrived if arrived.arrived_at > told_at]
-    excess = worst_window(cold, told_at, record)
-    record.add(f"{len(after)} attempts of {len(set(after))} requests reached the cold server")
-    if not after:
-        raise CaseError("no request reached the cold server")
-    return EXIT_BROKEN if excess > 0 else EXIT_HELD
+        for peer in (discovery, old, new):
+            peer.stop()
+    last_allowed_s = TOLD_WITHIN_S + STOP_SENDING_WITHIN_S + SOCKET_SLACK_S + HELD_UP_S
+    delays = [arrived.arrived_at - changed_at for arrived in old.arrived if arrived.arrived_at > changed_at]
+    late = [delay for delay in delays if delay > last_allowed_s]
+    record.add(
+        f"requests reached the draining server until {max(delays, default=0.0):.2f} s after the change"
+    )
+    record.add(
+        f"{len(late)} of them later than {last_allowed_s:.2f} s; the new server got {len(new.arrived)}"
+    )
+    if not old.arrived and not new.arrived:
+        raise CaseError("no request reached a chunk server")
+    return EXIT_BROKEN if late else EXIT_HELD
 
 
 run_case(__file__, main)
