Withhold the cached endpoint list until discovery has confirmed it

Cause: the gateway posted its cached list to the policy before any call to discovery and was ready one second later, with a shared discovery service at once. What the agent has counts as told from the first moment of a process, so the old list must not pass for the current one while the agent is silent.

Change: DiscoveryClient withholds the cached list until the first message of discovery. A blank line or a change confirms it, a whole list replaces it. With VRRP an instance joins the election once it has a list.

The new test in tests/service/test_start.py failed before (the cached node served the first request, or /up was 200), as did the two on readiness.

Tests replaced: "cached endpoints suffice with a shared discovery service" asserted the fault; its replacement asserts that they do not, with either kind of discovery. Two tests of the shutdown took a cached list with no discovery for a list to use, and now start a discovery service.

--- a/storage_gateway/endpoints/watch.py
+++ b/storage_gateway/endpoints/watch.py
@@ -27,7 +27,7 @@
     Attributes:
         backoff: draws the delays between the calls of a watch.
         call_timeout_s: seconds for the whole list, or for the first message of a watch.
-        connected: set once any watch has received a first message.
+        connected: set once a first message of any watch has been applied.
     """
 
     backoff: ReconnectBackoff
@@ -37,6 +37,9 @@
     def publish(self, update: EndpointUpdate, kind: api.EndpointUpdateKind | None = None) -> None:
         """Apply an update to the registry and post it to the policy."""
 
+    def confirm_list(self) -> None:
+        """Use the list that is held: nothing has changed since its version."""
+
     def supersede_older_watches(self, watch: EndpointWatch) -> None:
         """Cancel the watches that were started before this one."""
 
@@ -145,7 +148,9 @@
                         continue
                     timeout.reschedule(loop.time() + IDLE_TIMEOUT_S)
                     self._record_message(len(line))
-                    if not message.is_blank:
+                    if message.is_blank:
+                        self._owner.confirm_list()
+                    else:
                         self._publish(await read_update(message.value, timeout))
             assembler.end()
 
@@ -153,9 +158,7 @@
         if self.failures or not self._owner.connected.is_set():
             log.info("endpoint_watch_connected", address=self._url, failures=self.failures, bytes=line_bytes)
         self.failures = 0
-        self._owner.connected.set()
 
     def _publish(self, update: EndpointUpdate, kind: api.EndpointUpdateKind | None = None) -> None:
         self._owner.publish(update, kind)
         self._version = update.version
-        self._owner.connected.set()
--- a/storage_gateway/service.py
+++ b/storage_gateway/service.py
@@ -10,11 +10,10 @@
 
 import structlog
 
-from storage_gateway import policy_api as api
 from storage_gateway.config import GatewayConfig, read_configuration
 from storage_gateway.endpoints.codec import read_endpoint_update
 from storage_gateway.endpoints.discovery import DiscoveryClient
-from storage_gateway.endpoints.registry import EndpointRegistry
+from storage_gateway.endpoints.registry import EndpointRegistry, EndpointUpdate
 from storage_gateway.errors import ConfigurationError, ProtocolError
 from storage_gateway.http.client_connection import LINGER_S
 from storage_gateway.http.node_client import NodeClient
@@ -26,7 +25,9 @@
 if TYPE_CHECKING:
     from storage_gateway.sftp_service import SftpService
 
-FIRST_UPDATE_TIMEOUT_S = 1.0  # without an update by then, the cached endpoints are used
+# Without a message of discovery, the gateway reports that it is ready after these seconds.
+READY_TIMEOUT_S = 1.0  # without a cached list: there is nothing to wait for but discovery
+CACHED_READY_TIMEOUT_S = 8.5  # with one that is not used yet; platforms expect a restart to take 10 s at most
 MIN_ACCEPT_TIME_S = 0.75  # after SIGTERM, requests are accepted for at least this long
 RESERVED_LATENCY_OBJECTIVES = 2.0  # for the last requests accepted, in multiples of the shortest objective
 EXIT_TIME_S = 0.15  # reserved for the exit of the process
@@ -68,18 +69,20 @@
         self._discovery = DiscoveryClient(
             config.discovery, self._registry, self._executor.post, self._discovery_clients, config.seed
         )
-        self._publish_cached_endpoints()
+        self._cached_list = self._read_cached_list()  # handed over to the discovery client at the start
+        self._ready_timeout_s = CACHED_READY_TIMEOUT_S if self._cached_list else READY_TIMEOUT_S
         self._start_time = self._loop.time()
         self._http_server = HttpServer(config, self._executor, self._node_client, self.is_ready)
         self._sftp_service: SftpService | None = None
 
     def is_ready(self) -> bool:
-        """Return whether there are endpoints to use: from discovery or, in its absence, from the cache."""
-        if self._discovery_clients > 1 and self._registry.endpoints:
-            return True  # its first call to discovery is delayed; the cached endpoints are used until then
+        """Return whether discovery has sent a list, or has been silent for as long as a start may take.
+
+        A gateway that is ready without a list rejects each request at once.
+        """
         if self._discovery.connected.is_set():
             return True
-        return self._loop.time() - self._start_time > FIRST_UPDATE_TIMEOUT_S
+        return self._loop.time() - self._start_time > self._ready_timeout_s
 
     async def start(self) -> None:
         """Start the endpoint watch and the listeners, and log that this instance is ready.
@@ -87,7 +90,8 @@
         Raises:
             ConfigurationError: if a configured address cannot be listened on.
         """
-        self._discovery.start()
+        self._discovery.start(self._cached_list)
+        self._cached_list = None
         self._loop.add_signal_handler(signal.SIGHUP, self.reload)
         try:
             self._http_server.listen()
@@ -147,16 +151,19 @@
             return None
         from storage_gateway.sftp_service import SftpService
 
-        return await SftpService.start(self._config, self._executor, self._registry)
+        return await SftpService.start(
+            self._config, self._executor, self._registry, self._discovery.list_usable
+        )
 
-    def _publish_cached_endpoints(self) -> None:
+    def _read_cached_list(self) -> EndpointUpdate | None:
+        """Return the endpoint list of the configuration; None if there is none, or it is invalid."""
         if not self._config.cached_endpoints:
-            return
+            return None
         try:
-            update = read_endpoint_update(self._config.cached_endpoints)
-            self._discovery.publish(update, api.EndpointUpdateKind.CACHED)
+            return read_endpoint_update(self._config.cached_endpoints)
         except ProtocolError as error:
             log.warning("cached_endpoints_skipped", reason=str(error))
+            return None
 
     def _log_ready(self) -> None:
         settings = self._config.settings
--- a/storage_gateway/vrrp/transport.py
+++ b/storage_gateway/vrrp/transport.py
@@ -39,7 +39,20 @@
         self._notifier_task: asyncio.Task[None] | None = None
 
     async def start(self) -> Address:
-        """Bind the socket and start the protocol.
+        """Bind the socket and begin the protocol.
+
+        Returns:
+            The address that the socket is bound to.
+
+        Raises:
+            OSError: the address cannot be bound.
+        """
+        address = await self.bind()
+        self.begin()
+        return address
+
+    async def bind(self) -> Address:
+        """Bind the socket; advertisements are ignored until ``begin``.
 
         Returns:
             The address that the socket is bound to.
@@ -51,9 +64,12 @@
         self._transport, _ = await self._loop.create_datagram_endpoint(
             lambda: self, local_addr=(listen.host, listen.port)
         )
+        return Address(*self._transport.get_extra_info("sockname")[:2])
+
+    def begin(self) -> None:
+        """Begin the protocol: from now on this instance may become master."""
         self._notifier_task = asyncio.create_task(self._notify_mastership_changes())
         self._apply_event_result(self.router.startup(self._loop.time()))
-        return Address(*self._transport.get_extra_info("sockname")[:2])
 
     async def stop(self) -> None:
         """Stop; a master announces it, so that a backup need not wait for the master-down interval."""
--- a/tests/endpoints/test_discovery.py
+++ b/tests/endpoints/test_discovery.py
@@ -9,11 +9,12 @@
 
 from storage_gateway import policy_api as api
 from storage_gateway.config import Address
+from storage_gateway.endpoints import discovery as discovery_module
 from storage_gateway.endpoints import watch as watch_module
 from storage_gateway.endpoints.discovery import DiscoveryClient
-from storage_gateway.endpoints.registry import EndpointRegistry
+from storage_gateway.endpoints.registry import EndpointRegistry, EndpointUpdate
 from storage_gateway.policy_api import EndpointState
-from tests.support.endpoints import apply_endpoints, discovery_entry, make_endpoint
+from tests.support.endpoints import discovery_entry, make_endpoint
 from tests.support.failing_discovery import (
     ScriptedDiscovery,
     make_chunk,
@@ -122,15 +123,94 @@
         assert [watch.is_closed() for watch in client.watches] == [True]
 
 
+class CachedListTest(unittest.IsolatedAsyncioTestCase):
+    """A cached list may name nodes that began to drain before the start, so discovery has to confirm it."""
+
+    cached_list = EndpointUpdate(7, True, [make_endpoint("s-a", 9), make_endpoint("s-b", 10)])
+
+    async def start(self, *watch_lines: bytes) -> DiscoveryClient:
+        """Start a client with the cached list and a discovery service whose first watch has these lines."""
+        whole_list = {"generation": 9, "reset": True, "instances": [discovery_entry("SERVING", 11)]}
+        service = await FakeDiscovery(whole_list, [list(watch_lines)]).start()
+        self.addCleanup(service.stop)
+        self.kinds: list[api.EndpointUpdateKind] = []
+
+        def record(event: api.Event) -> None:
+            assert isinstance(event, api.EndpointsChanged)
+            self.kinds.append(event.kind)
+
+        client = DiscoveryClient(Address("127.0.0.1", service.port), EndpointRegistry({}), record)
+        client.call_timeout_s = 0.2
+        client.start(self.cached_list)
+        self.addCleanup(client.stop)
+        return client
+
+    async def start_until_connected(self, *watch_lines: bytes) -> DiscoveryClient:
+        client = await self.start(*watch_lines)
+        async with asyncio.timeout(5):
+            await client.connected.wait()
+        return client
+
+    async def test_list_is_not_used_while_discovery_is_silent(self) -> None:
+        client = await self.start()
+        async with asyncio.timeout(5):
+            await wait_until(lambda: client.watches[0].failures >= 2)
+        assert (self.kinds, client.registry.endpoints) == ([], {})
+        assert not client.list_usable.is_set()
+
+    async def test_list_is_used_once_a_blank_line_says_that_nothing_has_changed(self) -> None:
+        client = await self.start_until_connected(b"")
+        assert self.kinds == [api.EndpointUpdateKind.CACHED]
+        assert sorted(client.registry.endpoints) == [1, 2]
+
+    async def test_changes_since_the_cached_version_are_applied_with_the_list(self) -> None:
+        change = {"generation": 8, "reset": False, "instances": [discovery_entry("DRAINING")]}
+        client = await self.start_until_connected(json.dumps(change).encode())
+        assert self.kinds == [api.EndpointUpdateKind.CACHED, api.EndpointUpdateKind.DELTA]
+        assert [client.registry.is_serving(node_id) for node_id in (1, 2)] == [False, True]
+
+    async def test_whole_list_replaces_the_cached_one(self) -> None:
+        whole_list = {"generation": 8, "reset": True, "instances": [discovery_entry("SERVING", 11)]}
+        client = await self.start_until_connected(json.dumps(whole_list).encode())
+        assert self.kinds == [api.EndpointUpdateKind.SNAPSHOT]
+        assert [endpoint.address.port for endpoint in client.registry.endpoints.values()] == [11]
+
+    async def test_address_moved_to_replaces_the_cached_list(self) -> None:
+        client = await self.start()
+        new = await ScriptedDiscovery(snapshot, no_response).start()
+        self.addCleanup(new.stop)
+        client.move(Address("127.0.0.1", new.port))
+        async with asyncio.timeout(5):
+            await client.connected.wait()
+        assert self.kinds == [api.EndpointUpdateKind.SNAPSHOT]
+
+    async def test_list_is_used_unconfirmed_if_discovery_stays_silent(self) -> None:
+        self.enterContext(mock.patch.object(discovery_module, "CACHED_LIST_TIMEOUT_S", 0.3))
+        client = await self.start()
+        async with asyncio.timeout(5):
+            await client.list_usable.wait()
+        assert not client.connected.is_set()
+        assert self.kinds == [api.EndpointUpdateKind.CACHED]
+        assert client.registry.is_serving(1)
+
+    async def test_list_stays_in_use_when_discovery_moves_to_a_silent_address(self) -> None:
+        client = await self.start_until_connected(b"")
+        silent = await ScriptedDiscovery(no_response).start()
+        self.addCleanup(silent.stop)
+        client.move(Address("127.0.0.1", silent.port))
+        async with asyncio.timeout(5):
+            await wait_until(lambda: client.watches[-1].failures >= 2)
+        assert [client.registry.is_serving(node_id) for node_id in (1, 2)] == [True, True]
+
+
 class InitialDelayTest(unittest.IsolatedAsyncioTestCase):
     """The delay before the first call."""
 
     async def read_initial_delay(self, gateway_count: int, has_list: bool) -> float:
         registry = EndpointRegistry({})
-        if has_list:
-            apply_endpoints(registry, make_endpoint("s-1", 1))
+        cached_list = EndpointUpdate(1, True, [make_endpoint("s-1", 1)]) if has_list else None
         client = DiscoveryClient(UNUSED_ADDRESS, registry, lambda event: None, gateway_count, seed=3)
-        client.start()
+        client.start(cached_list)
         client.stop()
         return client.watches[0].initial_delay_s
 
--- a/tests/service/test_service.py
+++ b/tests/service/test_service.py
@@ -3,9 +3,11 @@
 import unittest
 from dataclasses import replace
 from typing import Any
+from unittest import mock
 
 import pytest
 
+from storage_gateway import service
 from storage_gateway.service import MIN_ACCEPT_TIME_S, Gateway, accept_time_s
 from tests.support.configuration import make_config, make_two_class_settings
 from tests.support.endpoints import discovery_entry, discovery_snapshot
@@ -29,14 +31,21 @@
 
 
 class ReadinessTest(unittest.IsolatedAsyncioTestCase):
-    """A gateway that shares its discovery service uses the cached endpoints until its first call."""
+    """A gateway with cached endpoints waits for discovery, but not for longer than a start may take."""
 
-    async def test_cached_endpoints_suffice_with_a_shared_discovery_service(self) -> None:
-        assert not make_gateway(gateway_count=2, known=[]).is_ready()
-        assert make_gateway(gateway_count=2, known=[discovery_entry("SERVING")]).is_ready()
+    async def test_cached_endpoints_do_not_suffice_before_discovery_has_responded(self) -> None:
+        # Otherwise requests reach nodes that began to drain before the start.
+        for gateway_count in (1, 2):
+            assert not make_gateway(gateway_count, known=[]).is_ready()
+            assert not make_gateway(gateway_count, known=[discovery_entry("SERVING")]).is_ready()
 
-    async def test_cached_endpoints_do_not_suffice_with_a_local_discovery_agent(self) -> None:
-        assert not make_gateway(gateway_count=1, known=[discovery_entry("SERVING")]).is_ready()
+    async def test_gateway_with_cached_endpoints_is_ready_later_if_discovery_is_silent(self) -> None:
+        self.enterContext(mock.patch.object(service, "READY_TIMEOUT_S", -1.0))
+        assert make_gateway(1, known=[discovery_entry("no such state")]).is_ready()  # it is not used
+        assert not make_gateway(1, known=[discovery_entry("SERVING")]).is_ready()
+
+        self.enterContext(mock.patch.object(service, "CACHED_READY_TIMEOUT_S", -1.0))
+        assert make_gateway(1, known=[discovery_entry("SERVING")]).is_ready()
 
     async def test_invalid_cached_endpoints_are_ignored(self) -> None:
         assert not make_gateway(gateway_count=2, known=[discovery_entry("no such state")]).is_ready()
--- a/tests/service/test_sftp_service.py
+++ b/tests/service/test_sftp_service.py
@@ -58,10 +58,14 @@
 class SftpServiceTest(unittest.IsolatedAsyncioTestCase):
     """Each test starts the service and tries to connect to it."""
 
+    def setUp(self) -> None:
+        self.list_usable = asyncio.Event()
+        self.list_usable.set()
+
     async def start(self, sftp: SftpConfig | None, vrrp: VrrpConfig | None = None) -> SftpService | None:
         config = make_config(sftp=sftp, vrrp=vrrp)
         executor = RequestExecutor(make_two_class_settings())
-        return await SftpService.start(config, executor, EndpointRegistry({}))
+        return await SftpService.start(config, executor, EndpointRegistry({}), self.list_usable)
 
     async def accepts(self, address: Address) -> bool:
         try:
@@ -71,6 +75,13 @@
         writer.close()
         return True
 
+    async def wait_until_accepted(self, address: Address) -> None:
+        async with asyncio.timeout(5):
+            is_open = False
+            while not is_open:
+                await asyncio.sleep(0.005)
+                is_open = await self.accepts(address)
+
     async def test_start_returns_none_if_the_configuration_disables_the_service(self) -> None:
         assert await self.start(sftp=None) is None
 
@@ -88,16 +99,26 @@
         sftp = make_sftp_config()
         service = await self.start(sftp, make_vrrp_config(OWNER_PRIORITY))
         assert service is not None
-        async with asyncio.timeout(5):
-            is_open = False
-            while not is_open:
-                await asyncio.sleep(0.005)
-                is_open = await self.accepts(sftp.listen)
+        await self.wait_until_accepted(sftp.listen)
 
         await service.close(grace_s=1.0)
 
         assert not await self.accepts(sftp.listen)
 
+    async def test_instance_without_a_usable_endpoint_list_does_not_become_master(self) -> None:
+        # Otherwise a restarted instance takes the clients of one that serves them, while discovery is silent.
+        self.list_usable.clear()
+        sftp = make_sftp_config()
+        service = await self.start(sftp, make_vrrp_config(OWNER_PRIORITY))
+        assert service is not None
+        await asyncio.sleep(0.05)
+        assert not await self.accepts(sftp.listen)
+
+        self.list_usable.set()
+
+        await self.wait_until_accepted(sftp.listen)
+        await service.close(grace_s=1.0)
+
     async def test_service_is_closed_on_a_backup(self) -> None:
         sftp = make_sftp_config()
         service = await self.start(sftp, make_vrrp_config(BACKUP_PRIORITY))
--- a/tests/service/test_shutdown.py
+++ b/tests/service/test_shutdown.py
@@ -18,10 +18,11 @@
     async def test_earlier_request_has_a_response_even_if_its_client_would_wait_longer(self) -> None:
         node = await self.start_node(never_respond)
         slow_classes = [{**lane, "GiveUpS": 30.0, "AimS": 9.0} for lane in SETTINGS["Lanes"]]
+        discovery = await self.start_discovery(discovery_snapshot(discovery_entry("SERVING", node.port)))
         await self.start_gateway(
-            settings={**SETTINGS, "Lanes": slow_classes},
-            known=discovery_snapshot(discovery_entry("SERVING", node.port)),
+            settings={**SETTINGS, "Lanes": slow_classes}, discovery=f"127.0.0.1:{discovery.port}"
         )
+        await self.wait_until_ready()
         requesting = asyncio.create_task(
             self.get_status(TARGET, **{"X-Trace-Id": "t", "X-Expires-In-Ms": "30000"})
         )
@@ -45,8 +46,9 @@
 
         node = await self.start_node(script)
         known = discovery_snapshot(discovery_entry("SERVING", node.port))
-        discovery = await self.start_discovery(known)
+        discovery = await self.start_discovery(known, [b""])
         await self.start_gateway(known=known, discovery=f"127.0.0.1:{discovery.port}")
+        await self.wait_until_ready()
         earlier_request = asyncio.create_task(self.get_status(TARGET, **{"X-Trace-Id": "before"}))
         await node.wait_for_request("before")
 
--- a/tests/service/test_start.py
+++ b/tests/service/test_start.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import resource
 import signal
 
+from tests.support.configuration import SETTINGS
 from tests.support.endpoints import discovery_entry, discovery_snapshot
-from tests.support.http import TARGET
+from tests.support.http import TARGET, make_target
 from tests.support.peers import FakeDiscovery, respond_at_once
 from tests.support.process import GatewayProcessCase
 
@@ -35,11 +37,42 @@
 
         await self.start_gateway(discovery=f"127.0.0.1:{discovery.sockets[0].getsockname()[1]}")
 
-        async with asyncio.timeout(10):
-            status = 0
-            while status != 200:
-                await asyncio.sleep(0.02)
-                status = await self.get_status("/up")
+        await self.wait_until_ready()
+
+    async def test_node_that_drains_since_before_the_start_gets_no_request(self) -> None:
+        # A new process must not take its cached list for the current one while discovery is silent.
+        draining = await self.start_node(respond_at_once)
+        serving = await self.start_node(respond_at_once)
+        known = discovery_snapshot(discovery_entry("SERVING", draining.port))
+        drained = discovery_entry("DRAINING", draining.port)
+        replacement = {**discovery_entry("SERVING", serving.port), "instanceId": "s-b"}
+        change = {"generation": 2, "reset": False, "instances": [drained, replacement]}
+        for settings in (SETTINGS, {**SETTINGS, "Discovery": "subscribe", "Siblings": 2}):
+            is_available = asyncio.Event()
+            discovery = FakeDiscovery(known, [[json.dumps(change).encode()]])
+
+            async def accept(
+                reader: asyncio.StreamReader,
+                writer: asyncio.StreamWriter,
+                is_available: asyncio.Event = is_available,
+                discovery: FakeDiscovery = discovery,
+            ) -> None:
+                await is_available.wait()
+                await discovery.handle_connection(reader, writer)
+
+            discovery.server = await asyncio.start_server(accept, "127.0.0.1", 0)
+            self.addCleanup(discovery.stop)
+            discovery_port = discovery.server.sockets[0].getsockname()[1]
+            await self.start_gateway(discovery=f"127.0.0.1:{discovery_port}", known=known, settings=settings)
+            assert await self.get_status("/up") == 503
+            assert await self.get_status(make_target(1000), **{"X-Trace-Id": "early"}) == 503
+
+            is_available.set()
+
+            await self.wait_until_served("t")
+            await self._end_process()
+        assert not draining.heads
+        assert serving.heads
 
 
 class ConnectionBudgetTest(GatewayProcessCase):
--- a/tests/support/process.py
+++ b/tests/support/process.py
@@ -81,9 +81,11 @@
         self.addCleanup(node.stop)
         return node
 
-    async def start_discovery(self, endpoint_list: dict[str, Any]) -> FakeDiscovery:
-        """Start a discovery service with this endpoint list; it is stopped after the test."""
-        discovery = await FakeDiscovery(endpoint_list, []).start()
+    async def start_discovery(
+        self, endpoint_list: dict[str, Any], *watch_lines: list[bytes]
+    ) -> FakeDiscovery:
+        """Start a discovery service with this list and scripted watches; it is stopped after the test."""
+        discovery = await FakeDiscovery(endpoint_list, list(watch_lines)).start()
         self.addCleanup(discovery.stop)
         return discovery
 
@@ -106,6 +108,14 @@
         """Send a request, and return the status of its response."""
         return (await self.get_response(target, **headers)).status
 
+    async def wait_until_ready(self) -> None:
+        """Poll ``/up`` until the gateway reports that it is ready."""
+        async with asyncio.timeout(10):
+            status = 0
+            while status != 200:
+                await asyncio.sleep(0.02)
+                status = await self.get_status("/up")
+
     async def wait_until_served(self, trace_id: str) -> None:
         """Send requests until one is served, each with a new id and for a new object.
 
