Pass no more of a client's data to the parser than one request may have

What callers saw: 600 bad clients took a gateway with a limit of 192 MB to 1.1 GB, and usual clients got their responses late or not at all (field without end, 60 MB to a path without a body, data behind a request for another protocol or a tunnel, chunks of one byte).

Cause: asyncio reads 256 KiB at once from each client, and all of it went to aiohttp's parser, which keeps heads of up to 64 long fields, hundreds of requests at once, the data behind an upgrade without a limit, and needs many times the size of small chunks.

Change: connections read at most 16 KiB at once into one shared buffer. RequestIntake divides the data: a head may have 16 KiB (431 beyond), a body its length, a chunked one 64 KiB with 2 KiB of framing (413 beyond); what follows a request is discarded. A rejected client is aborted once 1 MiB of it was dropped, and its connection is the first to go at the connection limit.

--- a/storage_gateway/http/aiohttp_internals.py
+++ b/storage_gateway/http/aiohttp_internals.py
@@ -5,7 +5,9 @@
 - ``aiohttp.http.HttpResponseParser`` and ``aiohttp.base_protocol.BaseProtocol``, to parse the head of one
   response without aiohttp's client;
 - the arguments with which ``web.Server`` calls its request factory, and those of ``web.BaseRequest``;
-- ``_waiter``, ``_messages``, ``_loop``, ``_process_keepalive``, ``_next_keepalive_close_time`` and
+- ``_messages`` of ``web.RequestHandler`` and its entries, and that ``data_received`` is called without data
+  to continue with a body that was paused;
+- ``_waiter``, ``_loop``, ``_process_keepalive``, ``_next_keepalive_close_time`` and
   ``_keepalive_handle`` of ``web.RequestHandler``.
 
 tests/http/test_aiohttp_internals.py fails if another version is installed or one of these parts is missing.
@@ -15,6 +17,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from aiohttp import StreamReader, web
 from aiohttp.abc import AbstractStreamWriter
@@ -27,6 +30,7 @@
     "HttpResponseParser",
     "InspectableRequestHandler",
     "RawResponseMessage",
+    "RequestHead",
     "make_request_factory",
     "make_response_parser",
 ]
@@ -80,6 +84,25 @@
     return make_request
 
 
+@dataclass(slots=True, frozen=True)
+class RequestHead:
+    """What the head of a client's request says of the data that follows it.
+
+    Attributes:
+        is_valid: whether the parser has accepted the head.
+        has_upgrade: whether data of another protocol follows: the client asks for one, or for a tunnel.
+        is_chunked: whether a chunked body follows.
+        content_length: number of bytes of a body that is not chunked; 0 for none.
+        body: the stream that the parser writes the body to.
+    """
+
+    is_valid: bool
+    has_upgrade: bool
+    is_chunked: bool
+    content_length: int
+    body: StreamReader
+
+
 class InspectableRequestHandler(web.RequestHandler):
     """aiohttp's protocol for a client connection, with readable state and a deferrable idle close."""
 
@@ -95,6 +118,17 @@
         """Return whether a received request, such as a pipelined one, has not begun to be handled."""
         return bool(self._messages)
 
+    def queued_head(self) -> RequestHead | None:
+        """Return the head of the latest received request, if that has not begun to be handled."""
+        if not self._messages:
+            return None
+        message, body = self._messages[-1]
+        if not isinstance(message, RawRequestMessage):
+            return RequestHead(False, False, False, 0, body)
+        has_upgrade = message.upgrade or message.method == "CONNECT"
+        content_length = int(message.headers.get("Content-Length", "0"))
+        return RequestHead(True, has_upgrade, message.chunked, content_length, body)
+
     def idle_close_delay_s(self, overdue_s: float) -> float:
         """Return the seconds by which to defer the close of an idle connection; 0 closes it immediately.
 
--- a/storage_gateway/http/client_connection.py
+++ b/storage_gateway/http/client_connection.py
@@ -4,24 +4,28 @@
 
 import asyncio
 import socket
+from http import HTTPStatus
 from typing import Protocol
 
 import structlog
 from aiohttp import StreamReader, web
 
-from storage_gateway.http.aiohttp_internals import InspectableRequestHandler
-from storage_gateway.http.graceful_transport import GracefulTransport
+from storage_gateway.http.bounded_request_handler import UNREAD_RESPONSE_TIMEOUT_S, BoundedRequestHandler
+from storage_gateway.http.request_intake import IntakePhase, IntakeRejection
+from storage_gateway.http.response_codec import encode_last_response
 from storage_gateway.http.sockets import has_unread_data, peer_has_closed
 
 IDLE_TIMEOUT_S = 2.1  # of a connection that carries no request
 INCOMPLETE_HEAD_TIMEOUT_S = 0.6  # to complete a head that began before the idle timeout
 STALL_TIMEOUT_S = 0.1  # at the connection limit, for the next bytes of an incomplete request
 SLOW_REQUEST_TIMEOUT_S = 0.4  # at the connection limit, for all bytes of a request, from the first one
-LINGER_S = 0.25  # for a client to read its last response and close; data received meanwhile is dropped
-UNREAD_RESPONSE_TIMEOUT_S = 3.0  # for a client to read a response that exceeds the kernel's send buffer
 CLOSE_RETRY_INTERVAL_S = 0.02  # between checks of whether a connection can be closed
-MAX_HEAD_FIELD_BYTES = 4096  # of the request line or one header field
-MAX_HEAD_FIELDS = 64
+
+REJECTION_STATUSES = {
+    IntakeRejection.HEAD_TOO_LARGE: HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+    IntakeRejection.BODY_TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    IntakeRejection.BODY_INVALID: HTTPStatus.BAD_REQUEST,
+}
 
 log = structlog.get_logger()
 
@@ -36,13 +40,22 @@
         """Record that part of a request has been received on the connection."""
 
     def mark_busy(self, connection: ClientConnection) -> None:
-        """Record that no more of a request is awaited: it is complete, or cannot be parsed or handled."""
+        """Record that no more of a request is awaited, as it is complete."""
+
+    def mark_rejected(self, connection: ClientConnection) -> None:
+        """Record that no more of a request is awaited, as it is invalid or too large."""
+
+    def hold(self, connection: ClientConnection, byte_count: int) -> None:
+        """Record that the request on the connection holds so many further bytes."""
+
+    def release(self, connection: ClientConnection) -> None:
+        """Record that no request on the connection holds bytes any more."""
 
     def remove(self, connection: ClientConnection) -> None:
         """Remove a connection that has ended."""
 
 
-class ClientConnection(InspectableRequestHandler):
+class ClientConnection(BoundedRequestHandler):
     """A client connection; it carries one request at a time.
 
     Attributes:
@@ -53,8 +66,8 @@
         receiving_since: event loop time in seconds at which the first byte of an incomplete request, of its
             head or its body, arrived; 0 if there is none.
         last_received_at: event loop time in seconds at which the latest bytes of it arrived.
+        held_bytes: bytes of the request that has been received so far, until it has its response.
         request_is_complete: whether a request is in progress that has been received completely.
-        graceful_transport: the transport; None until asyncio calls ``connection_made``.
 
     Args:
         server: aiohttp's server, which handles the requests.
@@ -72,24 +85,14 @@
         waited_s: float,
         loop: asyncio.AbstractEventLoop,
     ) -> None:
-        super().__init__(
-            server,
-            loop=loop,
-            keepalive_timeout=IDLE_TIMEOUT_S,
-            access_log=None,  # type: ignore[arg-type]  # None disables it; the annotation omits None
-            auto_decompress=False,
-            lingering_time=0.0,
-            max_line_size=MAX_HEAD_FIELD_BYTES,
-            max_field_size=MAX_HEAD_FIELD_BYTES,
-            max_headers=MAX_HEAD_FIELDS,
-        )
+        super().__init__(server, IDLE_TIMEOUT_S, loop)
         self.client_socket = client_socket
         self.accepted_at = loop.time()
         self.first_request_arrived_at: float | None = self.accepted_at - waited_s if waited_s else None
         self.receiving_since = 0.0
         self.last_received_at = 0.0
+        self.held_bytes = 0
         self.request_is_complete = False
-        self.graceful_transport: GracefulTransport | None = None
         self._observer = observer
         self._body: StreamReader | None = None  # of the request that is being handled; None if there is none
 
@@ -114,12 +117,13 @@
         self.request_is_complete = False
         self.receiving_since = 0.0
         self.first_request_arrived_at = None
+        self.intake.end_request()
+        self._observer.release(self)
         self._observer.mark_idle(self)
 
     def client_has_closed(self) -> bool:
         """Return whether the client has closed the connection, according to the kernel."""
-        transport = self.graceful_transport
-        return transport is None or transport.is_closing() or peer_has_closed(self.client_socket)
+        return self.is_closing() or peer_has_closed(self.client_socket)
 
     def is_evictable(self) -> bool:
         """Return whether no request is in progress or arriving, and no response is being written."""
@@ -166,33 +170,40 @@
         self.evict()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Wrap the transport; called by asyncio."""
-        assert isinstance(transport, asyncio.Transport)
-        self.graceful_transport = GracefulTransport(transport, LINGER_S, UNREAD_RESPONSE_TIMEOUT_S)
-        super().connection_made(self.graceful_transport)
+        """Report the connection to the observer as idle; called by asyncio."""
+        super().connection_made(transport)
         self._observer.mark_idle(self)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Report the end of the connection to the observer; called by asyncio."""
         self._observer.remove(self)
-        if self.graceful_transport:
-            self.graceful_transport.connection_lost()
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
-        """Parse received data; called by asyncio."""
-        if self.graceful_transport is None or self.graceful_transport.is_closing():
-            return  # data after the last response; unread, it would make the close reset the connection
+        """Parse received data; called by asyncio, and without data by aiohttp to continue a paused body."""
+        if not data:
+            super().data_received(data)
+            return
+        if self.is_closing() or self.intake.phase is IntakePhase.DISCARDING:
+            self.discard(len(data))  # unread, it would make the close reset the connection
+            return
         if self.request_is_complete:
             # Clients send one request at a time. Data between a request and its response may be a request
             # hidden by a wrong length (request smuggling); closing the connection keeps it from the node and
             # from being parsed as the next request.
             self.evict()
             return
-        super().data_received(data)
         self.last_received_at = self.loop_time()
         self.receiving_since = self.receiving_since or self.last_received_at
         self._observer.mark_receiving(self)
+        self.parse(data)
+        if self.intake.rejection is not None:
+            self._reject(REJECTION_STATUSES[self.intake.rejection])
+
+    def hold(self, byte_count: int) -> bool:
+        """Record that the incomplete request holds so many further bytes; return False if it may not."""
+        self._observer.hold(self, byte_count)
+        return not self.is_closing()
 
     def idle_close_delay_s(self, overdue_s: float) -> float:
         """Defer the close while a head that has begun may still complete, or a response is being written."""
@@ -221,11 +232,18 @@
         if status == 500:
             log.error("handler_failed", exc_info=exc)
         self.receiving_since = 0.0
-        self._observer.mark_busy(self)
+        self._observer.mark_rejected(self)
         response = web.Response(status=status, text="the request could not be parsed or handled\n")
         response.force_close()
         return response
 
+    def _reject(self, status: HTTPStatus) -> None:
+        """Send a response in place of one from the handler, and close."""
+        self._observer.mark_rejected(self)
+        if self.graceful_transport:
+            self.graceful_transport.write(encode_last_response(status))
+            self.graceful_transport.close()
+
     def _incomplete_head_timed_out(self) -> bool:
         if self.has_queued_requests() or self._body is not None:
             return False  # the head is complete
--- a/storage_gateway/http/connection_tracker.py
+++ b/storage_gateway/http/connection_tracker.py
@@ -7,29 +7,36 @@
 
 from storage_gateway.http.client_connection import ClientConnection
 
+BYTES_PER_KB = 1024
 MIN_EVICTION_AGE_S = 0.03  # the first request of a younger connection may still be in transit
 
 
 class ConnectionTracker:
-    """Tracks the open client connections; only its methods change the four collections.
+    """Tracks the open client connections; only its methods change the collections.
 
     Attributes:
         open: all open connections.
         never_used: connections on which nothing has been received so far, the oldest first.
         idle: connections without a request in progress, including those never used; the longest idle first.
         receiving: connections with an incomplete request, that of the earliest first byte first.
+        rejected: connections that close after the rejection of an invalid or oversized request, the earliest
+            rejection first.
         max_connections: maximum number of open connections.
         max_idle_connections: maximum number of idle connections that have carried a request; beyond it, each
             response closes its connection.
+        max_held_bytes: maximum number of bytes of all requests together; beyond it, incomplete ones are
+            rejected.
+        held_bytes: bytes of all requests that have no response yet, as far as they have been received.
         incomplete_request_response: sent to a client whose incomplete request is rejected.
         evicted: idle connections evicted at the limit since the last status line.
-        incomplete_rejected: incomplete requests rejected at the limit since the last status line.
+        incomplete_rejected: incomplete requests rejected at a limit since the last status line.
     """
 
     def __init__(
         self,
         max_connections: int,
         max_idle_connections: int,
+        max_held_bytes: int,
         loop: asyncio.AbstractEventLoop,
         incomplete_request_response: bytes,
     ) -> None:
@@ -40,6 +47,9 @@
         self.never_used: dict[ClientConnection, None] = {}  # a dict used as an ordered set
         self.idle: dict[ClientConnection, None] = {}
         self.receiving: dict[ClientConnection, None] = {}
+        self.rejected: dict[ClientConnection, None] = {}
+        self.max_held_bytes = max_held_bytes
+        self.held_bytes = 0
         self.evicted = 0
         self.incomplete_rejected = 0
         self._loop = loop
@@ -47,14 +57,17 @@
     def ensure_capacity(self) -> bool:
         """Return whether one more connection may be accepted; at the limit, close one to make room.
 
-        The oldest connection that was never used is evicted first, then the longest idle one. If none can be,
-        or all that can be were active later, a request that has stalled before it was complete is rejected:
+        A connection whose invalid request has been rejected is evicted first, then the oldest that was never
+        used, then the longest idle one. If none can be, or all that can be were active later, a request that
+        has stalled before it was complete is rejected:
         clients that stop within a request would otherwise hold all connections, while complete requests wait
         in the kernel's backlog. Right after a flood of connections reaches the limit, none is old enough to
         be closed and new ones wait there.
         """
         if len(self.open) < self.max_connections:
             return True
+        if self._evict_rejected():
+            return True
         stalled = next((connection for connection in self.receiving if connection.is_stalled()), None)
         unused = self._first_evictable(self.never_used)
         if unused and stalled and stalled.last_received_at < unused.accepted_at:
@@ -75,6 +88,14 @@
                 return connection
         return None
 
+    def _evict_rejected(self) -> bool:
+        """Evict the connection of the request rejected earliest; return False if there is none to evict."""
+        lingering = next((connection for connection in self.rejected if connection.is_lingering()), None)
+        if lingering is None:
+            return False
+        lingering.evict()
+        return True
+
     def _reject_incomplete(self, connection: ClientConnection) -> None:
         connection.reject_incomplete_request(self.incomplete_request_response)
         self.incomplete_rejected += 1
@@ -88,6 +109,31 @@
         """
         return len(self.idle) - len(self.never_used) > self.max_idle_connections
 
+    def hold(self, connection: ClientConnection, byte_count: int) -> None:
+        """Record that the request on the connection holds so many further bytes.
+
+        Beyond the limit, rejected requests are dropped, and then the incomplete requests whose first bytes
+        arrived first are rejected. A usual request is complete soon after its first byte, so that it is
+        hardly ever among them.
+        """
+        connection.held_bytes += byte_count
+        self.held_bytes += byte_count
+        while self.exceeds_held_limit():
+            if self._evict_rejected():
+                continue
+            if not self.receiving:
+                return
+            self._reject_incomplete(next(iter(self.receiving)))
+
+    def release(self, connection: ClientConnection) -> None:
+        """Record that no request on the connection holds bytes any more."""
+        self.held_bytes -= connection.held_bytes
+        connection.held_bytes = 0
+
+    def exceeds_held_limit(self) -> bool:
+        """Return whether the requests together hold more bytes than they may."""
+        return self.held_bytes > self.max_held_bytes
+
     def add(self, connection: ClientConnection) -> None:
         """Add a connection that was accepted."""
         self.open.add(connection)
@@ -113,12 +159,20 @@
         """Record that no more of a request is awaited: nothing closes the connection before the response."""
         self.receiving.pop(connection, None)
 
+    def mark_rejected(self, connection: ClientConnection) -> None:
+        """Record that the connection closes after the rejection of its invalid or oversized request."""
+        self.receiving.pop(connection, None)
+        if connection in self.open:
+            self.rejected[connection] = None
+
     def remove(self, connection: ClientConnection) -> None:
         """Remove a connection that has ended."""
+        self.release(connection)
         self.open.discard(connection)
         self.never_used.pop(connection, None)
         self.idle.pop(connection, None)
         self.receiving.pop(connection, None)
+        self.rejected.pop(connection, None)
 
     def evict_idle(self) -> None:
         """Evict all connections whose close neither fails a request nor truncates a response."""
@@ -132,6 +186,7 @@
             "clients": len(self.open),
             "clients_idle": len(self.idle),
             "clients_receiving": len(self.receiving),
+            "request_kb": self.held_bytes // BYTES_PER_KB,
             "clients_evicted": self.evicted,
             "incomplete_rejected": self.incomplete_rejected,
         }
--- a/storage_gateway/http/node_connection.py
+++ b/storage_gateway/http/node_connection.py
@@ -12,13 +12,14 @@
 from collections.abc import Callable
 
 from storage_gateway.errors import InvalidResponseError, NotSentError
+from storage_gateway.http.receive_buffer import SharedBufferProtocol
 from storage_gateway.http.response_parser import NodeResponse, ResponseParser
 from storage_gateway.http.sockets import has_unread_data
 
 INTER_READ_TIMEOUT_S = 0.05  # for the rest of a response head that has begun, and between reads of the body
 
 
-class NodeConnection(asyncio.Protocol):
+class NodeConnection(SharedBufferProtocol):
     """A connection to a storage node.
 
     Attributes:
--- a/storage_gateway/http/request_codec.py
+++ b/storage_gateway/http/request_codec.py
@@ -13,7 +13,6 @@
 from storage_gateway.config import Address, GatewayConfig
 from storage_gateway.errors import ProtocolError
 
-MAX_BODY_BYTES = 64 * 1024
 MAX_CLIENT_TIMEOUT_MS = 600_000
 MAX_TRACE_ID_LENGTH = 128
 MAX_UNITS = 1 << 20  # if the settings have no limit
--- a/storage_gateway/http/server.py
+++ b/storage_gateway/http/server.py
@@ -16,7 +16,9 @@
 from storage_gateway.http.connection_tracker import ConnectionTracker
 from storage_gateway.http.listener import Listener
 from storage_gateway.http.node_client import NodeClient
-from storage_gateway.http.request_codec import MAX_BODY_BYTES, ClientRequest, decode_request
+from storage_gateway.http.request_codec import ClientRequest, decode_request
+from storage_gateway.http.request_intake import MAX_BODY_BYTES, IntakePhase
+from storage_gateway.http.response_codec import encode_incomplete_rejection, retry_fields
 from storage_gateway.http.trace_ids import TraceIdRegistry
 from storage_gateway.lifecycle import AttemptResult, Failed, Rejected, RequestExecutor, Served
 
@@ -62,6 +64,7 @@
         self.connections = ConnectionTracker(
             budget.client_connections,
             budget.idle_client_connections,
+            1 << 40,
             executor.loop,
             encode_incomplete_rejection(config.settings.max_retry_after_s),
         )
@@ -121,7 +124,7 @@
             self.is_closing
             or self.connections.exceeds_idle_limit()
             or not request.content.is_eof()
-            or connection.has_queued_requests()
+            or connection.intake.phase is not IntakePhase.HEAD
         ):
             response.force_close()  # announced in the response, so that no further request crosses the close
         return response
@@ -189,26 +192,11 @@
         case Served(body):
             return web.Response(body=body)
         case Rejected(retry_after_s):
-            headers = _retry_headers(retry_after_s)
+            headers = retry_fields(retry_after_s)
             return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE, headers=headers)
         case Failed():
             return web.Response(status=HTTPStatus.BAD_GATEWAY)
 
 
-def _retry_headers(retry_after_s: float) -> dict[str, str]:
-    return {"Retry-After": f"{retry_after_s:.3f}"} if retry_after_s > 0 else {}
-
-
-def encode_incomplete_rejection(retry_after_s: float) -> bytes:
-    """Encode the response to a request that stalls before it is complete while all connections are in use.
-
-    It is a rejection like that of the policy: nothing was executed, and a retry is safe.
-    """
-    status = HTTPStatus.SERVICE_UNAVAILABLE
-    fields = {"Content-Length": "0", "Connection": "close", **_retry_headers(retry_after_s)}
-    lines = [f"HTTP/1.1 {status.value} {status.phrase}", *map(": ".join, fields.items()), "", ""]
-    return "\r\n".join(lines).encode("ascii")
-
-
 def _bad_request(reason: str) -> web.Response:
     return web.Response(status=HTTPStatus.BAD_REQUEST, text=f"{reason}\n")
--- a/storage_gateway/service.py
+++ b/storage_gateway/service.py
@@ -15,7 +15,7 @@
 from storage_gateway.endpoints.discovery import DiscoveryClient
 from storage_gateway.endpoints.registry import EndpointRegistry, EndpointUpdate
 from storage_gateway.errors import ConfigurationError, ProtocolError
-from storage_gateway.http.client_connection import LINGER_S
+from storage_gateway.http.bounded_request_handler import LINGER_S
 from storage_gateway.http.node_client import NodeClient
 from storage_gateway.http.server import HttpServer
 from storage_gateway.lifecycle import RequestExecutor
--- a/tests/http/test_connection_tracker.py
+++ b/tests/http/test_connection_tracker.py
@@ -10,6 +10,7 @@
 from storage_gateway.http import client_connection, connection_tracker
 from storage_gateway.http import server as server_module
 from storage_gateway.http.client_connection import ClientConnection
+from storage_gateway.http.response_codec import encode_incomplete_rejection
 from tests.support.http import HttpServerCase, encode_request
 from tests.support.peers import never_respond, respond_at_once
 
@@ -151,7 +152,7 @@
         assert (await self.send_request("t"))[0] == 200
         response = await self.receive(stopped)  # until the connection ends
         assert response.startswith(b"HTTP/1.1 503 Service Unavailable\r\n")
-        assert response == server_module.encode_incomplete_rejection(0.0)
+        assert response == encode_incomplete_rejection(0.0)
         assert self.server.connections.status_fields()["incomplete_rejected"] == 1
         assert len(self.server.connections.receiving) == 1
         assert self.node.request_counts["stopped"] == 0
@@ -231,5 +232,5 @@
         await self.wait_until(lambda: {*tracker.idle, *tracker.receiving} <= tracker.open)
 
     async def test_retry_hint_is_given_where_clients_follow_it(self) -> None:
-        assert b"\r\nRetry-After: 0.500\r\n" in server_module.encode_incomplete_rejection(0.5)
-        assert b"Retry-After" not in server_module.encode_incomplete_rejection(0.0)
+        assert b"\r\nRetry-After: 0.500\r\n" in encode_incomplete_rejection(0.5)
+        assert b"Retry-After" not in encode_incomplete_rejection(0.0)
