Limit the records that a client can name: volumes, failed requests, tokens and timers

What callers saw: one connection that sent requests under ever new names added 30 MB in 40 s, and the memory was not given back.

Cause: the policy keeps a volume for 60 s after its last request, about 600 bytes each, and a client may name a new one in every request. Requests that were over stayed in the timer queue until they were due.

Beyond it, the least recently used volume without open requests is forgotten. As it may have spent its share of its rate limit, new volumes have an empty share as of its latest use, so that nobody gets a share twice. The oldest failed requests, unused excess tokens and timers of ended requests go likewise.

--- a/storage_gateway/policy_api/settings.py
+++ b/storage_gateway/policy_api/settings.py
@@ -127,6 +127,8 @@
         excess_value: share of its full value that a unit beyond the reservation has.
         nodes_report_other_usage: whether nodes report what they serve a volume through other instances.
         max_retry_after_s: longest retry hint in seconds that clients follow; 0 for no retry hints.
+        max_records: largest number of records of each kind that clients can name, such as volumes; 0 for no
+            limit. Records that are in use are kept beyond it.
     """
 
     classes: list[RequestClass]
@@ -143,6 +145,7 @@
     excess_value: float
     nodes_report_other_usage: bool = False
     max_retry_after_s: float = 0.0
+    max_records: int = 0
 
     @property
     def max_excess_value(self) -> float:
--- a/storage_gateway/policy_state/node_table.py
+++ b/storage_gateway/policy_state/node_table.py
@@ -146,6 +146,20 @@
             self.shard_rates[node.shard] = decayed_rate + node.served_units / span_s
             node.served_units = 0.0
 
+    def limit_excess_tokens(self, max_buckets: int, unused_since: float) -> None:
+        """Drop the unused excess tokens of volumes if all nodes have more than so many.
+
+        The bucket of a volume that comes again is full, as one that was unused for long mostly is.
+        """
+        if sum(len(node.excess_tokens) for node in self.owners.values()) <= max_buckets:
+            return
+        for node in self.owners.values():
+            node.excess_tokens = {
+                volume_id: bucket
+                for volume_id, bucket in node.excess_tokens.items()
+                if bucket.refilled_at > unused_since
+            }
+
     def forget_unused(self, unused_since: float, volume_ids: Container[int]) -> None:
         """Drop tokens of forgotten volumes, and nodes that do not serve and are unused since."""
         for node in self.owners.values():
--- a/storage_gateway/policy_state/request_table.py
+++ b/storage_gateway/policy_state/request_table.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from itertools import islice
+
 from storage_gateway.policy_state.node_table import NodeTable
 from storage_gateway.policy_state.request import FailedRequest, Request, RetryIdentity
 
@@ -61,6 +63,15 @@
         if request.retry_identity.object_key is not None:
             self.failed_requests[request.retry_identity] = FailedRequest(request.arrived_at, now)
 
+    def limit_failed_requests(self, max_requests: int) -> None:
+        """Drop the requests that failed first if more than so many have failed.
+
+        The client's retry of one that was dropped counts as a new request.
+        """
+        excess = len(self.failed_requests) - max_requests
+        for identity in list(islice(self.failed_requests, max(0, excess))):
+            del self.failed_requests[identity]
+
     def forget(self, request: Request) -> None:
         """Drop a request that is over and has no attempt in flight; the next one of its key may be sent."""
         if not request.is_over or request.in_flight or request.request_id not in self.by_id:
--- a/storage_gateway/policy_state/state.py
+++ b/storage_gateway/policy_state/state.py
@@ -19,6 +19,8 @@
 
 IDLE_MEMORY_S = 60.0
 """Seconds after which an unused volume or node is forgotten; a reservation is full again long before."""
+EXCESS_MEMORY_S = 2.0
+"""Seconds after which a volume's unused excess tokens are forgotten once there are too many."""
 MIN_DEMAND_SPAN_S = 1.0
 """Least time span over which recent demand is averaged."""
 
@@ -106,6 +108,7 @@
         plan = self.settings.plans[event.plan_index]
         gateway_count = int(clamp(event.gateway_count, 1, self.gateway_count))
         volume = self.volumes.refill(event.volume_id, plan, gateway_count, self.now, self.started_at)
+        volume.open_requests += 1
         request = Request.from_arrival(event, request_class, plan, volume, gateway_count, self.now)
         self.requests.add(request)
         return request
@@ -158,6 +161,7 @@
         """Record the end of a request."""
         self.count_demand(request, self.last_round_at)
         request.is_over = True
+        request.volume.open_requests -= 1
         self.classes[request.class_index].record_finished(self.now - request.arrived_at)
         self.requests.dequeue(request)
         if not served:
@@ -180,6 +184,14 @@
         oldest = self.now - longest_objective_s - 1
         unused_since = self.now - IDLE_MEMORY_S
         self.nodes.forget_unused(unused_since, self.volumes.by_id)
+        if self.settings.max_records:
+            self._limit_records(self.settings.max_records)
         self.volumes.forget_unused(unused_since, oldest)
         self.requests.forget_unused(self.now, oldest)
         self.demand.forget_unused(self.now)
+
+    def _limit_records(self, max_records: int) -> None:
+        """Drop records that clients can name as fast as they send; the table of volumes limits itself."""
+        self.nodes.limit_excess_tokens(max_records, self.now - EXCESS_MEMORY_S)
+        self.requests.limit_failed_requests(max_records)
+        self.timers.limit_size(max_records)
--- a/storage_gateway/policy_state/timer_queue.py
+++ b/storage_gateway/policy_state/timer_queue.py
@@ -4,7 +4,7 @@
 
 import math
 from dataclasses import dataclass
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 from itertools import count
 
 from storage_gateway.policy_state.node import Node
@@ -32,10 +32,23 @@
 
     def next_at(self) -> float:
         """Return when the earliest entry is due, infinite for none; drop those of requests that are over."""
-        while self.heap and isinstance(self.heap[0][2], Request) and self.heap[0][2].is_over:
+        while self.heap and _is_over(self.heap[0][2]):
             heappop(self.heap)
         return self.heap[0][0] if self.heap else math.inf
 
     def pop(self) -> Subject:
         """Remove the earliest entry and return its subject."""
         return heappop(self.heap)[2]
+
+    def limit_size(self, max_entries: int) -> None:
+        """Drop the entries of requests that are over if there are more than so many.
+
+        They would otherwise be kept until they are due, for as long as a latency objective.
+        """
+        if len(self.heap) > max_entries:
+            self.heap = [entry for entry in self.heap if not _is_over(entry[2])]
+            heapify(self.heap)
+
+
+def _is_over(subject: Subject) -> bool:
+    return isinstance(subject, Request) and subject.is_over
--- a/storage_gateway/policy_state/volume.py
+++ b/storage_gateway/policy_state/volume.py
@@ -25,12 +25,14 @@
         rate_limit: token bucket of the rate limit.
         other_usage: usage through other instances that nodes have reported, by shard.
         reserved_units: reserved units that no attempt has drawn yet, by second of arrival of their requests.
+        open_requests: number of requests that are not over.
     """
 
     reservation: TokenBucket
     rate_limit: TokenBucket
     other_usage: dict[int, UsageReport] = field(default_factory=dict)
     reserved_units: defaultdict[int, float] = field(default_factory=lambda: defaultdict(float))
+    open_requests: int = 0
 
     def draw_reservation(self, units: float, second: int) -> None:
         """Reserve as many units as the reservation has left, for a request that arrives in this second."""
--- a/storage_gateway/policy_state/volume_table.py
+++ b/storage_gateway/policy_state/volume_table.py
@@ -15,10 +15,18 @@
 
 
 class VolumeTable:
-    """Volumes by id; ``PolicyState`` owns it."""
+    """Volumes by id; ``PolicyState`` owns it.
+
+    Attributes:
+        by_id: the volumes; with a limit on their number, the least recently used first.
+        forgotten_at: latest use of all volumes that were forgotten because of the limit; minus infinity if
+            none was.
+    """
 
     def __init__(self, settings: Settings) -> None:
         self.by_id: dict[int, Volume] = {}
+        self.forgotten_at = -math.inf
+        self._max_volumes = settings.max_records
         self._max_units = settings.max_request_units
         self._nodes_report_other_usage = settings.nodes_report_other_usage
 
@@ -26,14 +34,19 @@
         """Return the volume, its reservation refilled by this instance's share of the reserved rate.
 
         A volume that was not used recently has a full reservation. Its rate limit has been filling since the
-        start of this instance.
+        start of this instance, or since the latest use of a volume that was forgotten for want of space: this
+        one may have spent its share until then.
         """
         rate = self.local_reserved_rate(volume_id, plan.reserved_rate, gateway_count)
         capacity = rate + self._max_units if rate else 0.0
         volume = self.by_id.get(volume_id)
         if volume is None:
-            volume = Volume(reservation=TokenBucket(capacity, now), rate_limit=TokenBucket(0.0, started_at))
+            self._make_room()
+            filling_since = max(started_at, self.forgotten_at)
+            volume = Volume(TokenBucket(capacity, now), TokenBucket(0.0, filling_since))
             self.by_id[volume_id] = volume
+        elif self._max_volumes:
+            self.by_id[volume_id] = self.by_id.pop(volume_id)  # most recently used
         volume.reservation.refill(rate, capacity, now)
         return volume
 
@@ -64,6 +77,17 @@
         if span_s > 0 or node.shard not in reported:
             reported[node.shard] = UsageReport(rate, now)
 
+    def _make_room(self) -> None:
+        """Forget the least recently used volume without open requests, if there are as many as the limit."""
+        if not self._max_volumes or len(self.by_id) < self._max_volumes:
+            return
+        unused = (volume_id for volume_id, volume in self.by_id.items() if not volume.open_requests)
+        least_recently_used = next(unused, None)
+        if least_recently_used is not None:
+            volume = self.by_id.pop(least_recently_used)
+            used_at = max(volume.reservation.refilled_at, volume.rate_limit.refilled_at)
+            self.forgotten_at = max(self.forgotten_at, used_at)
+
     def forget_unused(self, unused_since: float, oldest_arrival: float) -> None:
         """Drop volumes without a request after ``unused_since``, and reserved units of older arrivals."""
         self.by_id = {
