--- a/storage_gateway/config/reader.py
+++ b/storage_gateway/config/reader.py
@@ -21,6 +21,7 @@
 MIN_DESCRIPTORS = 2 * RESERVED_DESCRIPTORS
 MAX_DESCRIPTORS = 1 << 20
 DEFAULT_DESCRIPTORS = 1024
+BYTES_PER_MB = 1 << 20
 MAX_SHARD_COUNT = 1 << 31
 DEFAULT_CONNECT_TIMEOUT_S = 0.25
 DEFAULT_IDLE_CLOSE_S = 30.0
@@ -50,9 +51,8 @@
     class_indexes = _index_by_name(classes)
     plan_indexes = _index_by_name(settings.tables("Contracts"))
     services = read_services(services_file, class_indexes, plan_indexes)
-    descriptors = root.table("limits", {}).integer(
-        "sockets", MIN_DESCRIPTORS, MAX_DESCRIPTORS, DEFAULT_DESCRIPTORS
-    )
+    limits = root.table("limits", {})
+    descriptors = limits.integer("sockets", MIN_DESCRIPTORS, MAX_DESCRIPTORS, DEFAULT_DESCRIPTORS)
     return GatewayConfig(
         name=environment.get("RELAY_NAME") or root.string("name"),
         listen=_read_overridable_address(environment, "RELAY_LISTEN", root, "listen"),
@@ -60,6 +60,7 @@
         configured_discovery=_read_configured_discovery(root),
         seed=seed,
         connection_budget=ConnectionBudget.from_descriptor_limit(descriptors, services.sftp is not None),
+        memory_limit_bytes=int(limits.number("memory_mb", 0.0) * BYTES_PER_MB),
         cached_endpoints=root.value("known", {}),
         settings=read_settings(settings.values, seed),
         class_indexes=class_indexes,
--- a/storage_gateway/config/schema.py
+++ b/storage_gateway/config/schema.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, fields
+from dataclasses import dataclass, field, fields, replace
 from typing import Any, Final
 
 from storage_gateway import policy_api as api
@@ -136,6 +136,16 @@
             sftp_sessions=sessions,
         )
 
+    def within(self, max_client_connections: int) -> ConnectionBudget:
+        """Return the allocation with so many client connections at most; 0 for no further limit."""
+        if not max_client_connections:
+            return self
+        return replace(
+            self,
+            client_connections=min(self.client_connections, max_client_connections),
+            idle_client_connections=min(self.idle_client_connections, max_client_connections // 2),
+        )
+
 
 @dataclass(slots=True, frozen=True)
 class ReloadResult:
@@ -163,6 +173,7 @@
             set at the start and no reload has replaced it since.
         seed: seed of the instance's random numbers.
         connection_budget: limits on the numbers of connections.
+        memory_limit_bytes: memory beyond which the platform ends the process; 0 for no limit.
         cached_endpoints: an earlier endpoint list in discovery's JSON format, unchecked; empty for none.
         settings: the policy's settings.
         class_indexes: index of each request class by its name.
@@ -185,6 +196,7 @@
     discovery: Address
     seed: int
     connection_budget: ConnectionBudget = field(metadata=DEFERRED_ON_RELOAD)
+    memory_limit_bytes: int = field(metadata=DEFERRED_ON_RELOAD)
     cached_endpoints: Any
     settings: api.Settings = field(metadata=DEFERRED_ON_RELOAD)
     class_indexes: dict[str, int] = field(metadata=DEFERRED_ON_RELOAD)
--- a/storage_gateway/http/bounded_request_handler.py
+++ b/storage_gateway/http/bounded_request_handler.py
@@ -60,9 +60,13 @@
         super().connection_made(self.graceful_transport)
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Cancel the linger timer; called by asyncio."""
+        """Cancel the linger timer, and drop what has been received of a body; called by asyncio."""
         if self.graceful_transport:
             self.graceful_transport.connection_lost()
+        # The task that awaits the rest ends with an exception that refers to the body, in a cycle: its memory
+        # would be in use until the next collection of garbage.
+        if self._incoming_body.exception() is None:
+            self._incoming_body.read_nowait()
         super().connection_lost(exc)
 
     def is_closing(self) -> bool:
--- a/storage_gateway/http/client_connection.py
+++ b/storage_gateway/http/client_connection.py
@@ -199,6 +199,8 @@
         self.parse(data)
         if self.intake.rejection is not None:
             self._reject(REJECTION_STATUSES[self.intake.rejection])
+        elif self.intake.phase is IntakePhase.COMPLETE:
+            self._observer.mark_busy(self)
 
     def hold(self, byte_count: int) -> bool:
         """Record that the incomplete request holds so many further bytes; return False if it may not."""
--- a/storage_gateway/http/connection_tracker.py
+++ b/storage_gateway/http/connection_tracker.py
@@ -5,9 +5,10 @@
 import asyncio
 from collections.abc import Iterable
 
+from storage_gateway.config import ConnectionBudget
 from storage_gateway.http.client_connection import ClientConnection
+from storage_gateway.memory import BYTES_PER_KB, ByteCount
 
-BYTES_PER_KB = 1024
 MIN_EVICTION_AGE_S = 0.03  # the first request of a younger connection may still be in transit
 
 
@@ -24,9 +25,8 @@
         max_connections: maximum number of open connections.
         max_idle_connections: maximum number of idle connections that have carried a request; beyond it, each
             response closes its connection.
-        max_held_bytes: maximum number of bytes of all requests together; beyond it, incomplete ones are
-            rejected.
-        held_bytes: bytes of all requests that have no response yet, as far as they have been received.
+        request_bytes: bytes of all requests that have no response yet, as far as they have been received;
+            beyond their maximum, incomplete ones are rejected.
         incomplete_request_response: sent to a client whose incomplete request is rejected.
         evicted: idle connections evicted at the limit since the last status line.
         incomplete_rejected: incomplete requests rejected at a limit since the last status line.
@@ -34,22 +34,20 @@
 
     def __init__(
         self,
-        max_connections: int,
-        max_idle_connections: int,
-        max_held_bytes: int,
+        budget: ConnectionBudget,
+        request_bytes: ByteCount,
         loop: asyncio.AbstractEventLoop,
         incomplete_request_response: bytes,
     ) -> None:
-        self.max_connections = max_connections
-        self.max_idle_connections = max_idle_connections
+        self.max_connections = budget.client_connections
+        self.max_idle_connections = budget.idle_client_connections
+        self.request_bytes = request_bytes
         self.incomplete_request_response = incomplete_request_response
         self.open: set[ClientConnection] = set()
         self.never_used: dict[ClientConnection, None] = {}  # a dict used as an ordered set
         self.idle: dict[ClientConnection, None] = {}
         self.receiving: dict[ClientConnection, None] = {}
         self.rejected: dict[ClientConnection, None] = {}
-        self.max_held_bytes = max_held_bytes
-        self.held_bytes = 0
         self.evicted = 0
         self.incomplete_rejected = 0
         self._loop = loop
@@ -117,8 +115,8 @@
         hardly ever among them.
         """
         connection.held_bytes += byte_count
-        self.held_bytes += byte_count
-        while self.exceeds_held_limit():
+        self.request_bytes.add(byte_count)
+        while self.request_bytes.is_exceeded:
             if self._evict_rejected():
                 continue
             if not self.receiving:
@@ -127,13 +125,9 @@
 
     def release(self, connection: ClientConnection) -> None:
         """Record that no request on the connection holds bytes any more."""
-        self.held_bytes -= connection.held_bytes
+        self.request_bytes.add(-connection.held_bytes)
         connection.held_bytes = 0
 
-    def exceeds_held_limit(self) -> bool:
-        """Return whether the requests together hold more bytes than they may."""
-        return self.held_bytes > self.max_held_bytes
-
     def add(self, connection: ClientConnection) -> None:
         """Add a connection that was accepted."""
         self.open.add(connection)
@@ -186,7 +180,7 @@
             "clients": len(self.open),
             "clients_idle": len(self.idle),
             "clients_receiving": len(self.receiving),
-            "request_kb": self.held_bytes // BYTES_PER_KB,
+            "request_kb": self.request_bytes.used_bytes // BYTES_PER_KB,
             "clients_evicted": self.evicted,
             "incomplete_rejected": self.incomplete_rejected,
         }
--- a/storage_gateway/http/node_client.py
+++ b/storage_gateway/http/node_client.py
@@ -12,6 +12,7 @@
 from storage_gateway.http.request_codec import ClientRequest, encode_attempt
 from storage_gateway.http.response_parser import NodeResponse, decode_outcome, decode_units_elsewhere
 from storage_gateway.lifecycle import AttemptResult
+from storage_gateway.memory import BYTES_PER_KB, ByteCount
 from storage_gateway.policy_api import AttemptOutcome
 
 IDLE_TIMEOUT_FRACTION = 0.5  # of the nodes' idle timeout, after which pooled connections are closed
@@ -25,6 +26,8 @@
         connect_timeout_s: maximum seconds to open a connection.
         idle_close_s: seconds after which the nodes close an idle connection.
         max_connections: number of connections to all nodes beyond which idle ones are closed.
+        max_response_bytes: number of bytes of all responses that are being received, beyond which large ones
+            are given up; 0 for no limit.
 
     Attributes:
         pools: the connection pool of each node, by the node's id in the registry.
@@ -38,6 +41,7 @@
         connect_timeout_s: float,
         idle_close_s: float,
         max_connections: int,
+        max_response_bytes: int = 0,
     ) -> None:
         self.pools: dict[int, ConnectionPool] = {}
         self.dials = 0
@@ -47,6 +51,7 @@
         self._idle_timeout_s = idle_close_s * IDLE_TIMEOUT_FRACTION
         self._max_connections = max_connections
         self._connection_count = ConnectionCount()
+        self._response_bytes = ByteCount(max_response_bytes)
         registry.listeners.append(self._retire_pool)
 
     @property
@@ -115,7 +120,9 @@
         address = pool.address
         try:
             async with asyncio.timeout(self._connect_timeout_s):
-                _, connection = await loop.create_connection(NodeConnection, address.host, address.port)
+                _, connection = await loop.create_connection(
+                    lambda: NodeConnection(self._response_bytes), address.host, address.port
+                )
         except (OSError, TimeoutError):
             self.dial_failures += 1
             raise
@@ -127,6 +134,7 @@
             "connections": self._connection_count.open,
             "dials": self.dials,
             "dial_failures": self.dial_failures,
+            "response_kb": self._response_bytes.used_bytes // BYTES_PER_KB,
         }
         self.dials = 0
         self.dial_failures = 0
--- a/storage_gateway/http/node_connection.py
+++ b/storage_gateway/http/node_connection.py
@@ -15,13 +15,18 @@
 from storage_gateway.http.receive_buffer import SharedBufferProtocol
 from storage_gateway.http.response_parser import NodeResponse, ResponseParser
 from storage_gateway.http.sockets import has_unread_data
+from storage_gateway.memory import ByteCount
 
+USUAL_RESPONSE_BYTES = 80 * 1024  # a response up to this size is received however little memory is left
 INTER_READ_TIMEOUT_S = 0.05  # for the rest of a response head that has begun, and between reads of the body
 
 
 class NodeConnection(SharedBufferProtocol):
     """A connection to a storage node.
 
+    Args:
+        response_bytes: bytes of the responses that are being received on all connections.
+
     Attributes:
         has_unsent_data: whether part of the request has not been passed to the kernel yet.
         reusable_at: event loop time in seconds from which a pooled connection may be reused.
@@ -29,13 +34,15 @@
         on_lost: called when the connection ends while it is pooled; None while it is in use.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, response_bytes: ByteCount) -> None:
         self.has_unsent_data = False
         self.reusable_at = 0.0
         self.expiry_timer: asyncio.TimerHandle | None = None
         self.on_lost: Callable[[], None] | None = None
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
+        self._response_bytes = response_bytes
+        self._received_bytes = 0  # of the awaited response
         self._parser: ResponseParser | None = None  # of the awaited response; None if there is none
         self._response: asyncio.Future[NodeResponse] | None = None
         self._read_timer: asyncio.TimerHandle | None = None
@@ -58,6 +65,8 @@
         finally:
             self._parser = None
             self._response = None
+            self._response_bytes.add(-self._received_bytes)
+            self._received_bytes = 0
             if self._read_timer:
                 self._read_timer.cancel()
                 self._read_timer = None
@@ -94,6 +103,11 @@
         if self._parser is None or self._response is None or self._response.done():
             self.abort()  # no response is awaited; the data must not become the response to the next request
             return
+        self._received_bytes += len(data)
+        self._response_bytes.add(len(data))
+        if self._response_bytes.is_exceeded and self._received_bytes > USUAL_RESPONSE_BYTES:
+            self._fail(InvalidResponseError("too large for the memory that is left"))
+            return
         try:
             response = self._parser.feed(data)
         except InvalidResponseError as error:
--- a/storage_gateway/http/server.py
+++ b/storage_gateway/http/server.py
@@ -21,6 +21,7 @@
 from storage_gateway.http.response_codec import encode_incomplete_rejection, retry_fields
 from storage_gateway.http.trace_ids import TraceIdRegistry
 from storage_gateway.lifecycle import AttemptResult, Failed, Rejected, RequestExecutor, Served
+from storage_gateway.memory import ByteCount, MemoryBudget
 
 REQUEST_PATH = "/api"
 READINESS_PATH = "/up"
@@ -36,6 +37,7 @@
         executor: executes each request as the policy decides.
         node_client: makes the attempts.
         is_ready: returns whether clients may send requests to this gateway instance.
+        memory_budget: limits what clients can fill.
 
     Attributes:
         address: the address to listen on; after ``listen``, with the port that the kernel chose.
@@ -51,6 +53,7 @@
         executor: RequestExecutor,
         node_client: NodeClient,
         is_ready: Callable[[], bool],
+        memory_budget: MemoryBudget,
     ) -> None:
         self.config = config
         self.executor = executor
@@ -60,11 +63,9 @@
         self.is_closing = False
         self.listener: Listener | None = None
         self.trace_ids = TraceIdRegistry()
-        budget = config.connection_budget
         self.connections = ConnectionTracker(
-            budget.client_connections,
-            budget.idle_client_connections,
-            1 << 40,
+            config.connection_budget.within(memory_budget.client_connections),
+            ByteCount(memory_budget.request_bytes),
             executor.loop,
             encode_incomplete_rejection(config.settings.max_retry_after_s),
         )
@@ -136,7 +137,8 @@
             return early_response
         try:
             async with asyncio.timeout(BODY_TIMEOUT_S):
-                body = await request.read() if request.body_exists else b""
+                await request.content.wait_eof()  # the incomplete body stays where a close can drop it
+            body = await request.read()
             client_request = decode_request(
                 self.config, request.method, request.raw_path, request.headers, body
             )
@@ -169,6 +171,8 @@
         self, client_request: ClientRequest, arrived_at: float, connection: ClientConnection
     ) -> web.Response:
         """Execute one request; each attempt is one exchange with a storage node."""
+        if self.connections.request_bytes.is_exceeded:
+            return _encode_result(Rejected(self.config.settings.max_retry_after_s))
         if not self.trace_ids.acquire(client_request.trace_id, arrived_at):
             return _bad_request("X-Trace-Id: already used by a request that is in progress or has just ended")
         request_id = self.executor.new_request_id()
--- a/storage_gateway/service.py
+++ b/storage_gateway/service.py
@@ -6,6 +6,7 @@
 import gc
 import os
 import signal
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import structlog
@@ -20,6 +21,7 @@
 from storage_gateway.http.server import HttpServer
 from storage_gateway.lifecycle import RequestExecutor
 from storage_gateway.logging import configure_logging
+from storage_gateway.memory import MemoryBudget, read_resident_bytes
 from storage_gateway.program import run_program
 
 if TYPE_CHECKING:
@@ -56,13 +58,15 @@
         settings = config.settings
         self._config = config
         self._loop = asyncio.get_running_loop()
-        self._executor = RequestExecutor(settings)
+        self._memory_budget = MemoryBudget.allocate(config.memory_limit_bytes, read_resident_bytes())
+        self._executor = RequestExecutor(replace(settings, max_records=self._memory_budget.records))
         self._registry = EndpointRegistry(config.zone_indexes)
         self._node_client = NodeClient(
             self._registry,
             config.connect_timeout_s,
             config.idle_close_s,
             config.connection_budget.node_connections,
+            self._memory_budget.response_bytes,
         )
         # Number of instances that call the same discovery service; 1 if this one has a local agent.
         self._discovery_clients = settings.gateway_count if settings.must_watch_endpoints else 1
@@ -72,7 +76,9 @@
         self._cached_list = self._read_cached_list()  # handed over to the discovery client at the start
         self._ready_timeout_s = CACHED_READY_TIMEOUT_S if self._cached_list else READY_TIMEOUT_S
         self._start_time = self._loop.time()
-        self._http_server = HttpServer(config, self._executor, self._node_client, self.is_ready)
+        self._http_server = HttpServer(
+            config, self._executor, self._node_client, self.is_ready, self._memory_budget
+        )
         self._sftp_service: SftpService | None = None
 
     def is_ready(self) -> bool:
@@ -99,6 +105,7 @@
         except OSError as error:
             raise ConfigurationError("listen", f"{error}") from error
         self._executor.status_sources += [
+            self._memory_budget.status_fields,
             self._node_client.status_fields,
             self._discovery.status_fields,
             self._http_server.status_fields,
@@ -177,6 +184,7 @@
             latency_objectives_s=self._latency_objectives_s(),
             safety=settings.safety,
             slow_start_units=settings.slow_start_units,
+            memory_budget=self._memory_budget,
             min_excess_rate=self._executor.policy.state.nodes.min_excess_rate,
             max_retry_after_s=settings.max_retry_after_s,
         )
--- a/tests/config/test_reader.py
+++ b/tests/config/test_reader.py
@@ -36,6 +36,8 @@
             ({"settings": {**SETTINGS, "Lanes": classes}}, "settings.Lanes[0].Repeat:"),
             ({"settings": {**SETTINGS, "PolicyLimits": {}}}, "settings.PolicyLimits.SendCap: missing"),
             ({"limits": {"sockets": "many"}}, "limits.sockets:"),
+            ({"limits": {"memory_mb": "much"}}, "limits.memory_mb:"),
+            ({"limits": {"memory_mb": -1}}, "limits.memory_mb:"),
         ]
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "config.json"
--- a/tests/http/test_node_client.py
+++ b/tests/http/test_node_client.py
@@ -9,7 +9,7 @@
 from storage_gateway.policy_api import AttemptOutcome, EndpointState
 from tests.support.endpoints import apply_endpoints, make_endpoint
 from tests.support.http import NODE_ID, HttpServerCase, make_client_request
-from tests.support.peers import respond_at_once
+from tests.support.peers import make_response, respond_at_once
 
 
 class NodeClientTest(HttpServerCase):
@@ -58,6 +58,22 @@
         assert self.node_client.open_connections == 1
         assert len(self.node_client.pools[NODE_ID].idle) == 1
 
+    async def test_large_response_is_given_up_while_responses_hold_too_much_memory(self) -> None:
+        """Guards against nodes that send responses without end, each within its own limit."""
+        bodies = {"usual": bytes(64 * 1024), "large": bytes(200_000)}
+
+        async def respond(trace_id: str) -> bytes:
+            return make_response(200, bodies[trace_id])
+
+        await self.start_server(respond)
+        count = self.node_client._response_bytes
+        for max_bytes, outcome in ((0, AttemptOutcome.SERVED), (1000, AttemptOutcome.CONNECTION_RESET)):
+            count.max_bytes = max_bytes
+            usual = await self.node_client.attempt(NODE_ID, make_client_request("usual"), lambda: 1.0)
+            large = await self.node_client.attempt(NODE_ID, make_client_request("large"), lambda: 1.0)
+            assert (usual.outcome, large.outcome) == (AttemptOutcome.SERVED, outcome)
+            assert count.used_bytes == 0
+
     async def test_attempt_sends_the_time_left_after_a_slow_connect(self) -> None:
         await self.start_server(respond_at_once)
 
--- a/tests/http/test_request_intake.py
+++ b/tests/http/test_request_intake.py
@@ -209,16 +209,30 @@
         early, late = self.open_socket(), self.open_socket()
         for client in (early, late):
             client.sendall(body + bytes(RECEIVE_BUFFER_BYTES))
-            await self.wait_until(lambda: tracker.held_bytes % RECEIVE_BUFFER_BYTES)
-        await self.wait_until(lambda: tracker.held_bytes > 2 * RECEIVE_BUFFER_BYTES)
-        tracker.max_held_bytes = tracker.held_bytes
+            await self.wait_until(lambda: tracker.request_bytes.used_bytes % RECEIVE_BUFFER_BYTES)
+        await self.wait_until(lambda: tracker.request_bytes.used_bytes > 2 * RECEIVE_BUFFER_BYTES)
+        tracker.request_bytes.max_bytes = tracker.request_bytes.used_bytes
 
         assert (await self.send_request("usual"))[0] == 200
 
         assert (await self.receive(early)).startswith(b"HTTP/1.1 503 ")
-        assert tracker.held_bytes < 2 * RECEIVE_BUFFER_BYTES
+        assert tracker.request_bytes.used_bytes < 2 * RECEIVE_BUFFER_BYTES
         late.close()
-        await self.wait_until(lambda: tracker.held_bytes == 0)
+        await self.wait_until(lambda: tracker.request_bytes.used_bytes == 0)
+
+    async def test_request_that_is_complete_but_not_handled_yet_is_not_rejected_for_others(self) -> None:
+        await self.start_server(respond_at_once)
+        tracker = self.server.connections
+        data_received = ClientConnection.data_received
+
+        def exceed_limit(connection: ClientConnection, data: bytes) -> None:
+            data_received(connection, data)  # the task that handles the request runs in a later iteration
+            tracker.request_bytes.max_bytes = tracker.request_bytes.used_bytes
+            tracker.hold(connection, 1)
+            tracker.request_bytes.max_bytes = 0
+
+        with mock.patch.object(ClientConnection, "data_received", exceed_limit):
+            assert (await self.send_request("t"))[0] == 200
 
     async def test_client_that_sends_on_after_its_rejection_is_disconnected(self) -> None:
         with mock.patch.object(bounded_request_handler, "LINGER_S", 60):
--- a/tests/soak/memory_report.py
+++ b/tests/soak/memory_report.py
@@ -1,12 +1,14 @@
 """Reports the peak memory of a gateway, and how usual clients fare, beside each kind of bad client.
 
-Run by hand, alone on the machine: ``python -m tests.soak.memory_report MEMORY_MB [KIND ...]``.
+Run by hand, alone on the machine: ``python -m tests.soak.memory_report MEMORY_MB``.
 """
 
 from __future__ import annotations
 
+import argparse
 import asyncio
 import sys
+import unittest
 from collections import Counter
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -139,14 +141,14 @@
 class _ReportCase(MemoryCase):
     """Plays the kinds of bad client, each beside a new gateway."""
 
-    memory_mb = 0
-    kinds: tuple[str, ...] = ()
+    options: argparse.Namespace
 
     async def test_report(self) -> None:
+        options = self.options
         print(f"{'kind':30} {'idle':>6} {'peak':>7} {'after':>7}  {'slowest':>8} late failed of")
-        for kind in self.kinds or KINDS:
-            await self.start_with_limit(self.memory_mb)
-            outcome = await self.play(kind, SECONDS, CONNECTIONS)
+        for kind in options.kinds or KINDS:
+            await self.start_with_limit(options.memory_mb)
+            outcome = await self.play(kind, options.seconds, options.connections)
             slowest = max(outcome.times_s, default=0.0)
             total = len(outcome.times_s) + outcome.failed
             print(
@@ -156,17 +158,20 @@
                 f"{'' if outcome.is_alive else '  THE PROCESS ENDED'}",
                 flush=True,
             )
-            if "-v" in sys.argv:
-                print(*[line.decode()[60:400] for line in self.log_lines[-4:]])
+            if options.log:
+                print(*[line.decode() for line in self.log_lines[-options.log :]])
             await self._end_process()
 
 
 def main() -> None:
-    """Run the report with the limit and the kinds of the command line."""
-    import unittest
-
-    _ReportCase.memory_mb = int(sys.argv[1])
-    _ReportCase.kinds = tuple(name for name in sys.argv[2:] if name != "-v")
+    """Run the report with the options of the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("memory_mb", type=int, help="the memory limit in the configuration")
+    parser.add_argument("kinds", nargs="*", help="kinds of bad client; all if there are none")
+    parser.add_argument("--connections", type=int, default=CONNECTIONS)
+    parser.add_argument("--seconds", type=float, default=SECONDS)
+    parser.add_argument("--log", type=int, default=0, help="last lines of the log to print")
+    _ReportCase.options = parser.parse_args()
     unittest.TextTestRunner().run(_ReportCase("test_report"))
 
 
--- a/tests/support/configuration.py
+++ b/tests/support/configuration.py
@@ -40,6 +40,7 @@
         configured_discovery=Address("127.0.0.1", 1),
         seed=1,
         connection_budget=ConnectionBudget.from_descriptor_limit(1024, False),
+        memory_limit_bytes=0,
         cached_endpoints={},
         settings=make_two_class_settings(plans=[make_plan(expected_rate=80.0, reserved_rate=80.0)]),
         class_indexes={"tile-read": 0, "record-write": 1},
--- a/tests/support/http.py
+++ b/tests/support/http.py
@@ -19,6 +19,7 @@
 from storage_gateway.http.request_codec import ClientRequest
 from storage_gateway.http.server import HttpServer
 from storage_gateway.lifecycle import RequestExecutor
+from storage_gateway.memory import MemoryBudget
 from tests.support.configuration import make_config
 from tests.support.endpoints import apply_endpoints, make_endpoint
 from tests.support.peers import FakeHttpNode
@@ -92,7 +93,9 @@
         self.registry = EndpointRegistry({})
         self.node_client = NodeClient(self.registry, 0.25, 30.0, max_connections)
         self.is_ready = False
-        self.server = HttpServer(make_config(), self.executor, self.node_client, lambda: self.is_ready)
+        self.server = HttpServer(
+            make_config(), self.executor, self.node_client, lambda: self.is_ready, MemoryBudget()
+        )
         self.server.listen()
         self.url = f"http://127.0.0.1:{self.server.address.port}"
         self.executor.post(
