Begin no attempt while a client's socket has unread data, behind which a close hides

What callers saw: a client sent its request and much more, and closed; its request was sent to a node afterwards.

Cause: before the first byte of an attempt the gateway asked the kernel whether the client has closed. The kernel reports a close only once all data before it has been received, and with a full receive buffer that is after the event loop has read it. Unread data alone did not count.

Change: unread data counts as well. Clients send one request at a time, and one that sends more is disconnected as soon as the data is read; now no attempt begins in between.

Evidence: test_no_attempt_begins_after_a_close_that_much_unread_data_hides failed before: the node got the request of a client that had filled the socket and closed it while the connection to the node was opened.

--- a/storage_gateway/http/client_connection.py
+++ b/storage_gateway/http/client_connection.py
@@ -13,7 +13,7 @@
 from storage_gateway.http.bounded_request_handler import UNREAD_RESPONSE_TIMEOUT_S, BoundedRequestHandler
 from storage_gateway.http.request_intake import IntakePhase, IntakeRejection
 from storage_gateway.http.response_codec import encode_last_response
-from storage_gateway.http.sockets import has_unread_data, peer_has_closed
+from storage_gateway.http.sockets import has_unread_data, is_readable
 
 IDLE_TIMEOUT_S = 2.1  # of a connection that carries no request
 INCOMPLETE_HEAD_TIMEOUT_S = 0.6  # to complete a head that began before the idle timeout
@@ -121,9 +121,13 @@
         self._observer.release(self)
         self._observer.mark_idle(self)
 
-    def client_has_closed(self) -> bool:
-        """Return whether the client has closed the connection, according to the kernel."""
-        return self.is_closing() or peer_has_closed(self.client_socket)
+    def client_has_left(self) -> bool:
+        """Return whether the client has closed the connection, or has sent more than its request.
+
+        Behind data that has not been read the kernel does not report a close, and a client that sends more
+        than one request at a time is disconnected as soon as the event loop reads the data.
+        """
+        return self.is_closing() or is_readable(self.client_socket.fileno())
 
     def is_evictable(self) -> bool:
         """Return whether no request is in progress or arriving, and no response is being written."""
--- a/storage_gateway/http/server.py
+++ b/storage_gateway/http/server.py
@@ -179,7 +179,7 @@
         arrival = client_request.to_arrival(request_id, arrived_at + client_request.timeout_s)
 
         def time_left() -> float:
-            return 0.0 if connection.client_has_closed() else self.executor.attempt_time_left(request_id)
+            return 0.0 if connection.client_has_left() else self.executor.attempt_time_left(request_id)
 
         async def attempt(node_id: int) -> AttemptResult[bytes]:
             return await self.node_client.attempt(node_id, client_request, time_left)
--- a/storage_gateway/http/sockets.py
+++ b/storage_gateway/http/sockets.py
@@ -12,7 +12,6 @@
 _LAST_DATA_OFFSET = 52
 _LAST_DATA_FORMAT = "=I"
 _LAST_DATA_END = _LAST_DATA_OFFSET + struct.calcsize(_LAST_DATA_FORMAT)
-_PEER_CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
 
 
 def is_readable(descriptor: int) -> bool:
@@ -30,32 +29,6 @@
     return is_readable(transport.get_extra_info("socket").fileno())
 
 
-def peer_has_closed(connected_socket: socket.socket) -> bool:
-    """Return whether the peer has closed or reset the connection, even if the event loop has not read it.
-
-    Unread data alone does not count; a close that follows unread data does.
-
-    Args:
-        connected_socket: a connected, non-blocking socket.
-    """
-    if connected_socket.fileno() < 0:
-        return True
-    poller = select.poll()
-    poller.register(connected_socket, select.POLLIN | select.POLLRDHUP)
-    polled = poller.poll(0)
-    if not polled:
-        return False
-    _, events = polled[0]
-    if events & _PEER_CLOSED_EVENTS:
-        return True
-    try:
-        return not connected_socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
-
-
 def unread_data_age_s(connected_socket: socket.socket) -> float:
     """Return the seconds since the latest data arrived that has not been read; 0 if there is none.
 
