Remember the trace ids of executed requests, also after their clients have left

What callers saw: an id ran twice when it came again more than two seconds after its client had left.

Cause: an id was free two seconds after its request had ended, whatever had become of the request. A node may execute it for longer, and has executed it if it was served.

Ids of requests that certainly did not run are free after two seconds as before.

Evidence: the tests of ReturningTraceIdTest failed before: with the clock 3 s after the client had left or 30 s after it was served, the node got the id a second time. A restart still forgets the ids, as there is no disk that outlives the process.

--- a/storage_gateway/http/server.py
+++ b/storage_gateway/http/server.py
@@ -42,7 +42,7 @@
     Attributes:
         address: the address to listen on; after ``listen``, with the port that the kernel chose.
         connections: the open client connections.
-        trace_ids: the trace ids in use.
+        trace_ids: the trace ids that further requests must not have.
         listener: accepts the connections; None before ``listen``.
         is_closing: whether ``close`` was called; each response then closes its connection.
     """
@@ -62,7 +62,7 @@
         self.address = config.listen
         self.is_closing = False
         self.listener: Listener | None = None
-        self.trace_ids = TraceIdRegistry()
+        self.trace_ids = TraceIdRegistry(memory_budget.executed_ids)
         self.connections = ConnectionTracker(
             config.connection_budget.within(memory_budget.client_connections),
             ByteCount(memory_budget.request_bytes),
@@ -174,20 +174,28 @@
         if self.connections.request_bytes.is_exceeded:
             return _encode_result(Rejected(self.config.settings.max_retry_after_s))
         if not self.trace_ids.acquire(client_request.trace_id, arrived_at):
-            return _bad_request("X-Trace-Id: already used by a request that is in progress or has just ended")
+            return _bad_request("X-Trace-Id: already used by a request that is in progress or has ended")
         request_id = self.executor.new_request_id()
         arrival = client_request.to_arrival(request_id, arrived_at + client_request.timeout_s)
+        may_have_executed = False
 
         def time_left() -> float:
             return 0.0 if connection.client_has_left() else self.executor.attempt_time_left(request_id)
 
         async def attempt(node_id: int) -> AttemptResult[bytes]:
-            return await self.node_client.attempt(node_id, client_request, time_left)
+            nonlocal may_have_executed
+            executed_before = may_have_executed
+            may_have_executed = True  # stays so if the client leaves meanwhile
+            result = await self.node_client.attempt(node_id, client_request, time_left)
+            may_have_executed = executed_before or not result.outcome.proves_no_execution
+            return result
 
         try:
             result = await self.executor.execute(arrival, attempt)
         finally:
-            self.trace_ids.release(client_request.trace_id, self.executor.now())
+            self.trace_ids.release(
+                client_request.trace_id, self.executor.now(), may_have_executed=may_have_executed
+            )
         return _encode_result(result)
 
 
--- a/storage_gateway/memory.py
+++ b/storage_gateway/memory.py
@@ -14,10 +14,12 @@
 REQUESTS_SHARE = 0.25
 RECORDS_SHARE = 0.25
 RESPONSES_SHARE = 0.15
+EXECUTED_IDS_SHARE = 0.08
 
 CONNECTION_BYTES = 24 * 1024  # of a client connection without a request
 REQUEST_COPIES = 4  # of a request's bytes: as received, decoded and sent to a node, and as freed in pieces
 RESPONSE_COPIES = 3
+EXECUTED_ID_BYTES = 96
 RECORD_BYTES = 2 * 1024  # of a volume with its requests and its tokens at the nodes
 
 # With less, the gateway could not serve at all; a limit that does not bear them is exceeded.
@@ -25,6 +27,7 @@
 MIN_REQUEST_BYTES = 256 * 1024
 MIN_RESPONSE_BYTES = 256 * 1024
 MIN_RECORDS = 256
+MIN_EXECUTED_IDS = 2048
 
 _MEMORY_FILE = Path("/proc/self/statm")
 _RESIDENT_PAGES_FIELD = 1
@@ -49,6 +52,7 @@
         response_bytes: number of bytes of all responses that are being received from nodes, beyond which
             large ones are given up.
         records: maximum number of records of each kind that clients can name.
+        executed_ids: maximum number of trace ids of executed requests that are remembered.
     """
 
     limit_bytes: int = 0
@@ -56,6 +60,7 @@
     request_bytes: int = 0
     response_bytes: int = 0
     records: int = 0
+    executed_ids: int = 0
 
     @classmethod
     def allocate(cls, limit_bytes: int, idle_bytes: int) -> MemoryBudget:
@@ -72,12 +77,14 @@
         request_bytes = available * REQUESTS_SHARE / REQUEST_COPIES
         response_bytes = available * RESPONSES_SHARE / RESPONSE_COPIES
         records = available * RECORDS_SHARE / RECORD_BYTES
+        executed_ids = available * EXECUTED_IDS_SHARE / EXECUTED_ID_BYTES
         return cls(
             limit_bytes=limit_bytes,
             client_connections=max(MIN_CONNECTIONS, int(connections)),
             request_bytes=max(MIN_REQUEST_BYTES, int(request_bytes)),
             response_bytes=max(MIN_RESPONSE_BYTES, int(response_bytes)),
             records=max(MIN_RECORDS, int(records)),
+            executed_ids=max(MIN_EXECUTED_IDS, int(executed_ids)),
         )
 
     def status_fields(self) -> dict[str, object]:
--- a/tests/http/test_client_disconnect.py
+++ b/tests/http/test_client_disconnect.py
@@ -67,6 +67,43 @@
         assert self.node.request_counts["t"] == 1
 
 
+class ReturningTraceIdTest(HttpServerCase):
+    """Guards against a request that runs twice: its id comes again after its client has left."""
+
+    async def run_and_leave(self, leave: Callable[[socket.socket], Any]) -> None:
+        """Have a client leave while a node executes its request."""
+        executing = asyncio.Event()
+
+        async def respond(trace_id: str) -> bytes:
+            executing.set()
+            await asyncio.Event().wait()
+            raise AssertionError("nothing sets the event")
+
+        await self.start_server(respond)
+        client = self.open_socket()
+        client.sendall(encode_request("t", method="PUT", changes={"X-Qos": "record-write"}))
+        async with asyncio.timeout(5):
+            await executing.wait()
+        leave(client)
+        await self.wait_until(lambda: not self.executor.pending)
+
+    async def test_id_is_rejected_however_long_its_client_has_left(self) -> None:
+        for leave in (socket.socket.close, reset_connection):
+            await self.run_and_leave(leave)
+            for seconds in (0.0, 3.0, 30.0):
+                self.advance_clock(seconds)
+                status, _ = await self.send_request("t", "PUT")
+                assert (status, self.node.request_counts["t"]) == (400, 1), seconds
+            await self.stop_server()
+
+    async def test_id_is_rejected_after_its_request_was_served(self) -> None:
+        await self.start_server(respond_at_once)
+        assert (await self.send_request("t", "PUT"))[0] == 200
+        self.advance_clock(30.0)
+        assert (await self.send_request("t", "PUT"))[0] == 400
+        assert self.node.request_counts["t"] == 1
+
+
 class DisconnectWhileQueuedTest(HttpServerCase):
     """The client disconnects while the policy queues its request."""
 
--- a/tests/service/test_memory.py
+++ b/tests/service/test_memory.py
@@ -25,12 +25,14 @@
             + budget.request_bytes * memory.REQUEST_COPIES
             + budget.response_bytes * memory.RESPONSE_COPIES
             + budget.records * memory.RECORD_BYTES
+            + budget.executed_ids * memory.EXECUTED_ID_BYTES
         )
         assert idle_bytes + used <= (1 - memory.RESERVED_SHARE) * limit_mb * BYTES_PER_MB
 
     def test_limit_that_the_idle_process_exceeds_leaves_the_least_of_each_part(self) -> None:
         budget = MemoryBudget.allocate(16 * BYTES_PER_MB, 32 * BYTES_PER_MB)
         assert (budget.client_connections, budget.records) == (memory.MIN_CONNECTIONS, memory.MIN_RECORDS)
+        assert budget.executed_ids == memory.MIN_EXECUTED_IDS
         assert budget.request_bytes == memory.MIN_REQUEST_BYTES
         assert budget.response_bytes == memory.MIN_RESPONSE_BYTES
 
