End an SFTP session whose client closes behind commands that wait to be read

What callers saw: a client sent many commands at once and closed; they were sent to a node afterwards, one after the other.

Cause: the session reads up to eight packets ahead and then waits for room in its queue. The close stands behind the packets that it has not read, so that the command of a client that had left was not cancelled, and the next ones were executed.

Change: while the queue is full, the session asks the kernel every 40 ms whether the client has closed. The check of the socket serves HTTP and SFTP and moves to storage_gateway/sockets.py, with its test.

Evidence: the new test in tests/sftp/test_session.py failed before: the node got more than the one command that was in progress at the close. Open: a client that sends more than the socket's buffers hold hides its close from the kernel as well.

--- a/storage_gateway/http/client_connection.py
+++ b/storage_gateway/http/client_connection.py
@@ -13,7 +13,7 @@
 from storage_gateway.http.bounded_request_handler import UNREAD_RESPONSE_TIMEOUT_S, BoundedRequestHandler
 from storage_gateway.http.request_intake import IntakePhase, IntakeRejection
 from storage_gateway.http.response_codec import encode_last_response
-from storage_gateway.http.sockets import has_unread_data, is_readable
+from storage_gateway.sockets import has_unread_data, is_readable
 
 IDLE_TIMEOUT_S = 2.1  # of a connection that carries no request
 INCOMPLETE_HEAD_TIMEOUT_S = 0.6  # to complete a head that began before the idle timeout
--- a/storage_gateway/http/listener.py
+++ b/storage_gateway/http/listener.py
@@ -6,7 +6,7 @@
 import socket
 from collections.abc import Callable
 
-from storage_gateway.http.sockets import is_readable, unread_data_age_s
+from storage_gateway.sockets import is_readable, unread_data_age_s
 
 MAX_ACCEPTS_PER_ITERATION = 32  # connections accepted in one iteration of the event loop
 BACKLOG_LENGTH = 512  # connections that the kernel queues until they are accepted
--- a/storage_gateway/http/node_connection.py
+++ b/storage_gateway/http/node_connection.py
@@ -14,8 +14,8 @@
 from storage_gateway.errors import InvalidResponseError, NotSentError
 from storage_gateway.http.receive_buffer import SharedBufferProtocol
 from storage_gateway.http.response_parser import NodeResponse, ResponseParser
-from storage_gateway.http.sockets import has_unread_data
 from storage_gateway.memory import ByteCount
+from storage_gateway.sockets import has_unread_data
 
 USUAL_RESPONSE_BYTES = 80 * 1024  # a response up to this size is received however little memory is left
 INTER_READ_TIMEOUT_S = 0.05  # for the rest of a response head that has begun, and between reads of the body
--- a/storage_gateway/sftp/session.py
+++ b/storage_gateway/sftp/session.py
@@ -14,8 +14,10 @@
 from storage_gateway.sftp.fields import StatusCode
 from storage_gateway.sftp.packets import PROTOCOL_VERSION, Init, Packet, Status, Version
 from storage_gateway.sftp.request_handler import RequestHandler
+from storage_gateway.sockets import peer_has_closed
 
 MAX_QUEUED_PACKETS = 8  # requests that wait to be handled; the socket is not read while the queue is full
+CLOSE_CHECK_INTERVAL_S = 0.04  # between checks for a close behind the requests that wait
 TRANSFER_TIMEOUT_S = 30.0  # for a client to send the rest of a packet, and to receive a response
 log = structlog.get_logger()
 
@@ -84,7 +86,8 @@
                     length = await read_packet_length(self._reader)
                 async with asyncio.timeout(TRANSFER_TIMEOUT_S):
                     raw = await self._reader.readexactly(length)
-                await self._packets.put(raw)
+                if not await self._queue_packet(raw):
+                    return _StreamEnd.CLOSED
             except TimeoutError:
                 log.info("sftp_session_timed_out")
                 return _StreamEnd.CLOSED
@@ -94,6 +97,22 @@
                 log.warning("sftp_stream_rejected", reason=str(error))
                 return _StreamEnd.INVALID
 
+    async def _queue_packet(self, raw: bytes) -> bool:
+        """Queue a packet; return False if the client closes the connection while the queue is full.
+
+        Without the check, the commands of a client that has left would be executed as long as further ones
+        are between them and the end of the stream.
+        """
+        descriptor = self._writer.get_extra_info("socket").fileno()
+        while True:
+            try:
+                async with asyncio.timeout(CLOSE_CHECK_INTERVAL_S):
+                    await self._packets.put(raw)
+                return True
+            except TimeoutError:
+                if peer_has_closed(descriptor):
+                    return False
+
     async def _process_packets(self) -> None:
         is_first = True
         while (raw := await self._packets.get()) is not None and not self._is_draining:
--- a/storage_gateway/http/sockets.py
+++ b/storage_gateway/sockets.py
@@ -29,6 +29,16 @@
     return is_readable(transport.get_extra_info("socket").fileno())
 
 
+def peer_has_closed(descriptor: int) -> bool:
+    """Return whether the peer has closed or reset the connection, even if data before that has not been read.
+
+    The kernel knows of a close once it has received all data before it. Unread data alone does not count.
+    """
+    poller = select.poll()
+    poller.register(descriptor, select.POLLRDHUP)
+    return bool(poller.poll(0))
+
+
 def unread_data_age_s(connected_socket: socket.socket) -> float:
     """Return the seconds since the latest data arrived that has not been read; 0 if there is none.
 
--- a/tests/http/test_client_disconnect.py
+++ b/tests/http/test_client_disconnect.py
@@ -11,7 +11,7 @@
 from unittest import mock
 
 from storage_gateway import policy_api as api
-from storage_gateway.http.sockets import is_readable
+from storage_gateway.sockets import is_readable, peer_has_closed
 from tests.support.http import HttpServerCase, encode_request
 from tests.support.peers import make_response, respond_at_once
 
@@ -147,6 +147,20 @@
         assert sum(node.in_flight_count for node in self.executor.policy.state.nodes.by_id.values()) == 0
 
 
+class PeerHasClosedTest(HttpServerCase):
+    """``peer_has_closed`` on a socket with unread data."""
+
+    async def test_unread_data_alone_is_no_close_but_a_close_after_it_is_detected(self) -> None:
+        local_socket, peer_socket = socket.socketpair(socket.AF_UNIX)
+        local_socket.setblocking(False)
+        self.addCleanup(local_socket.close)
+        assert not peer_has_closed(local_socket.fileno())
+        peer_socket.sendall(b"more")
+        assert not peer_has_closed(local_socket.fileno())
+        peer_socket.close()
+        assert peer_has_closed(local_socket.fileno())
+
+
 class ReadableSocketTest(HttpServerCase):
     """``is_readable`` on the socket of a client whose request is in progress."""
 
--- a/tests/http/test_listener.py
+++ b/tests/http/test_listener.py
@@ -10,7 +10,7 @@
 
 from storage_gateway.http import listener as listener_module
 from storage_gateway.http.listener import Listener
-from storage_gateway.http.sockets import unread_data_age_s
+from storage_gateway.sockets import unread_data_age_s
 from tests.support.http import HttpServerCase, encode_request
 from tests.support.peers import make_response
 from tests.support.polling import wait_until
--- a/tests/sftp/test_session.py
+++ b/tests/sftp/test_session.py
@@ -59,6 +59,21 @@
                 lambda: not (node.open_connections or self.executor.pending or self.server.sessions)
             )
 
+    async def test_no_command_of_a_client_that_left_is_executed_however_many_it_has_sent(self) -> None:
+        """Guards against a close that is not noticed behind commands that wait to be read."""
+        node = FakeSftpNode()
+        node.may_respond.clear()
+        client = await self.start(node)
+        for request_id in range(1, 60):
+            client.writer.write(encode_packet(packets.Stat(request_id, f"/plats/t{request_id}")))
+        await client.writer.drain()
+        async with asyncio.timeout(5):
+            await wait_until(lambda: bool(node.requests))
+            client.writer.close()
+            await wait_until(lambda: not (self.executor.pending or self.server.sessions))
+        node.may_respond.set()
+        assert len(node.requests) == 1
+
     async def test_session_is_closed_after_the_idle_timeout(self) -> None:
         client = await self.start(idle_timeout_s=0.05)
         async with asyncio.timeout(5):
