Close the connections that two tests left to the garbage collection

Two tests started a silent discovery service whose connections nobody closed. Their writers were finalized after the event loop had closed, at any later time. If that was while Python parsed a module, the traceback of the ignored exception was parsed within it, which CPython 3.11.6 reports as a SystemError: seen twice at the end of a run of tests/service, tests/vrrp and tests/endpoints, after all tests had passed.

The tests use the service of tests/support/failing_discovery.py, which closes its connections. No assertion has changed.

--- a/tests/endpoints/test_discovery.py
+++ b/tests/endpoints/test_discovery.py
@@ -59,12 +59,12 @@
         registry = EndpointRegistry({})
         events = asyncio.Queue[api.Event]()
         client = DiscoveryClient(Address("127.0.0.1", old.port), registry, events.put_nowait)
-        unresponsive = await asyncio.start_server(lambda reader, writer: asyncio.sleep(60), "127.0.0.1", 0)
+        unresponsive = await ScriptedDiscovery(no_response).start()
         client.start()
         async with asyncio.timeout(5):
             await events.get()
             await wait_until(lambda: len(old.targets) >= 2)  # the list, then the watch
-            client.move(Address("127.0.0.1", unresponsive.sockets[0].getsockname()[1]))
+            client.move(Address("127.0.0.1", unresponsive.port))
             for writer in old.writers:  # the new address does not respond, so the old one is still used
                 writer.write(make_chunk(json.dumps(change).encode() + b"\n"))
             await events.get()
@@ -76,9 +76,8 @@
         assert new.targets == ["/discovery/hosts", "/discovery/hosts?watch=1&after=7"]
         assert len(client.watches) == 1
         client.stop()
-        for service in (old, new):
+        for service in (old, new, unresponsive):
             service.stop()
-        unresponsive.close()
 
     async def test_single_instance_fetches_its_list_at_once(self) -> None:
         service = await FakeDiscovery({"generation": 1, "reset": True, "instances": []}, [[b""]]).start()
--- a/tests/service/test_start.py
+++ b/tests/service/test_start.py
@@ -9,6 +9,7 @@
 
 from tests.support.configuration import SETTINGS
 from tests.support.endpoints import discovery_entry, discovery_snapshot
+from tests.support.failing_discovery import ScriptedDiscovery, no_response
 from tests.support.http import TARGET, make_target
 from tests.support.peers import FakeDiscovery, respond_at_once
 from tests.support.process import GatewayProcessCase
@@ -32,10 +33,10 @@
     """What ``/up`` reports for a gateway that has just started."""
 
     async def test_gateway_is_ready_soon_even_if_discovery_never_responds(self) -> None:
-        discovery = await asyncio.start_server(lambda reader, writer: asyncio.sleep(60), "127.0.0.1", 0)
-        self.addCleanup(discovery.close)
+        discovery = await ScriptedDiscovery(no_response).start()
+        self.addCleanup(discovery.stop)
 
-        await self.start_gateway(discovery=f"127.0.0.1:{discovery.sockets[0].getsockname()[1]}")
+        await self.start_gateway(discovery=f"127.0.0.1:{discovery.port}")
 
         await self.wait_until_ready()
 
