Take the socket in peer_has_closed, and name the fields of a request's head

The descriptor of a socket that this side has closed is -1, which poll refuses with a ValueError; the check of an SFTP session passed it on. peer_has_closed takes the socket again, as before it moved, and counts such a socket as closed; its test failed with the descriptor.

RequestHead is created with the names of its fields, BYTES_PER_MB stands once, and a comment is back on its line.

--- a/storage_gateway/config/reader.py
+++ b/storage_gateway/config/reader.py
@@ -17,11 +17,11 @@
 from storage_gateway.config.settings import read_settings
 from storage_gateway.config.table import ConfigTable, read_address
 from storage_gateway.errors import ConfigurationError
+from storage_gateway.memory import BYTES_PER_MB
 
 MIN_DESCRIPTORS = 2 * RESERVED_DESCRIPTORS
 MAX_DESCRIPTORS = 1 << 20
 DEFAULT_DESCRIPTORS = 1024
-BYTES_PER_MB = 1 << 20
 MAX_SHARD_COUNT = 1 << 31
 DEFAULT_CONNECT_TIMEOUT_S = 0.25
 DEFAULT_IDLE_CLOSE_S = 30.0
--- a/storage_gateway/endpoints/discovery.py
+++ b/storage_gateway/endpoints/discovery.py
@@ -70,9 +70,7 @@
         self._post = post
         self._updated_at = time.monotonic()
         self._superseded: list[EndpointWatch] = []
-        self._cached_list: EndpointUpdate | None = (
-            None  # withheld until it is confirmed; None if there is none
-        )
+        self._cached_list: EndpointUpdate | None = None  # withheld until it is confirmed or used
         self._cached_list_timer: asyncio.TimerHandle | None = None
 
     def start(self, cached_list: EndpointUpdate | None = None) -> None:
--- a/storage_gateway/http/aiohttp_internals.py
+++ b/storage_gateway/http/aiohttp_internals.py
@@ -124,10 +124,16 @@
             return None
         message, body = self._messages[-1]
         if not isinstance(message, RawRequestMessage):
-            return RequestHead(False, False, False, 0, body)
-        has_upgrade = message.upgrade or message.method == "CONNECT"
-        content_length = int(message.headers.get("Content-Length", "0"))
-        return RequestHead(True, has_upgrade, message.chunked, content_length, body)
+            return RequestHead(
+                is_valid=False, has_upgrade=False, is_chunked=False, content_length=0, body=body
+            )
+        return RequestHead(
+            is_valid=True,
+            has_upgrade=message.upgrade or message.method == "CONNECT",
+            is_chunked=message.chunked,
+            content_length=int(message.headers.get("Content-Length", "0")),
+            body=body,
+        )
 
     def idle_close_delay_s(self, overdue_s: float) -> float:
         """Return the seconds by which to defer the close of an idle connection; 0 closes it immediately.
--- a/storage_gateway/sftp/session.py
+++ b/storage_gateway/sftp/session.py
@@ -103,14 +103,13 @@
         Without the check, the commands of a client that has left would be executed as long as further ones
         are between them and the end of the stream.
         """
-        descriptor = self._writer.get_extra_info("socket").fileno()
         while True:
             try:
                 async with asyncio.timeout(CLOSE_CHECK_INTERVAL_S):
                     await self._packets.put(raw)
                 return True
             except TimeoutError:
-                if peer_has_closed(descriptor):
+                if peer_has_closed(self._writer.get_extra_info("socket")):
                     return False
 
     async def _process_packets(self) -> None:
--- a/storage_gateway/sockets.py
+++ b/storage_gateway/sockets.py
@@ -6,6 +6,7 @@
 import select
 import socket
 import struct
+from asyncio.trsock import TransportSocket
 
 # Offset and format of ``tcpi_last_data_recv`` in Linux's ``struct tcp_info``: milliseconds since the latest
 # data arrived.
@@ -29,13 +30,16 @@
     return is_readable(transport.get_extra_info("socket").fileno())
 
 
-def peer_has_closed(descriptor: int) -> bool:
+def peer_has_closed(connected_socket: socket.socket | TransportSocket) -> bool:
     """Return whether the peer has closed or reset the connection, even if data before that has not been read.
 
-    The kernel knows of a close once it has received all data before it. Unread data alone does not count.
+    The kernel knows of a close once it has received all data before it. Unread data alone does not count. A
+    socket that this side has closed counts as closed by the peer.
     """
+    if connected_socket.fileno() < 0:
+        return True
     poller = select.poll()
-    poller.register(descriptor, select.POLLRDHUP)
+    poller.register(connected_socket, select.POLLRDHUP)
     return bool(poller.poll(0))
 
 
--- a/tests/http/test_client_disconnect.py
+++ b/tests/http/test_client_disconnect.py
@@ -154,11 +154,17 @@
         local_socket, peer_socket = socket.socketpair(socket.AF_UNIX)
         local_socket.setblocking(False)
         self.addCleanup(local_socket.close)
-        assert not peer_has_closed(local_socket.fileno())
+        assert not peer_has_closed(local_socket)
         peer_socket.sendall(b"more")
-        assert not peer_has_closed(local_socket.fileno())
+        assert not peer_has_closed(local_socket)
         peer_socket.close()
-        assert peer_has_closed(local_socket.fileno())
+        assert peer_has_closed(local_socket)
+
+    async def test_socket_that_this_side_has_closed_counts_as_closed(self) -> None:
+        local_socket, peer_socket = socket.socketpair(socket.AF_UNIX)
+        self.addCleanup(peer_socket.close)
+        local_socket.close()
+        assert peer_has_closed(local_socket)
 
 
 class ReadableSocketTest(HttpServerCase):
