Fetch the whole list when discovery rejects the version of a watch

Related path of the withheld list: a watch whose call was answered with a client error was repeated with the same version for ever. While the cached list was used after a second, that did no harm; now that it is withheld, a service that does not know the version any more would leave a new process without a list for 20 s.

After a client error other than 408 and 429 the next call fetches the whole list. The new test failed before; a second one shows that 503 keeps the version, as before.

--- a/storage_gateway/endpoints/watch.py
+++ b/storage_gateway/endpoints/watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from http import HTTPStatus
 from typing import Protocol
 
 import aiohttp
@@ -18,6 +19,7 @@
 from storage_gateway.errors import ProtocolError
 
 IDLE_TIMEOUT_S = 3.0  # since the last complete message; a working watch sends an empty one every 2 s
+BUSY_STATUSES = (HTTPStatus.REQUEST_TIMEOUT, HTTPStatus.TOO_MANY_REQUESTS)
 log = structlog.get_logger()
 
 
@@ -110,6 +112,8 @@
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             reason = f"{type(error).__name__}: {error}"
             log.warning("endpoint_watch_failed", address=self._url, reason=reason, failures=self.failures)
+            if _rejects_version(error):
+                self._version = None
         except Exception:  # a bug must not end the task, as nothing else would call discovery again
             log.exception("endpoint_watch_crashed", address=self._url)
             self._version = None
@@ -162,3 +166,11 @@
     def _publish(self, update: EndpointUpdate, kind: api.EndpointUpdateKind | None = None) -> None:
         self._owner.publish(update, kind)
         self._version = update.version
+
+
+def _rejects_version(error: Exception) -> bool:
+    """Return whether a call failed for what it asked for, and not because the service is busy or silent."""
+    if not isinstance(error, aiohttp.ClientResponseError):
+        return False
+    is_client_error = HTTPStatus.BAD_REQUEST <= error.status < HTTPStatus.INTERNAL_SERVER_ERROR
+    return is_client_error and error.status not in BUSY_STATUSES
--- a/tests/endpoints/test_watch.py
+++ b/tests/endpoints/test_watch.py
@@ -16,10 +16,12 @@
     BusyDiscovery,
     Responder,
     ScriptedDiscovery,
+    busy,
     endless_list,
     indented_message,
     malformed_message,
     no_response,
+    rejected_version,
     snapshot,
     trickling_message,
     truncated_message,
@@ -72,6 +74,15 @@
         targets = await self.record_targets(malformed_message, snapshot, no_response, has_list=True)
         assert targets[:2] == [WATCH_TARGET, LIST_TARGET]
 
+    async def test_whole_list_is_fetched_after_a_version_was_rejected(self) -> None:
+        """Guards against a start with a version that discovery does not know: no list would be confirmed."""
+        targets = await self.record_targets(rejected_version, snapshot, no_response, has_list=True)
+        assert targets[:2] == [WATCH_TARGET, LIST_TARGET]
+
+    async def test_version_is_kept_while_discovery_is_busy(self) -> None:
+        targets = await self.record_targets(busy, busy, no_response, has_list=True)
+        assert targets == [WATCH_TARGET] * 3
+
     async def test_indented_message_over_several_lines_is_applied(self) -> None:
         targets = await self.record_targets(snapshot, indented_message, count=2)
         assert targets[1] == WATCH_TARGET
--- a/tests/support/failing_discovery.py
+++ b/tests/support/failing_discovery.py
@@ -59,6 +59,16 @@
     writer.write(make_response(200, json.dumps(SNAPSHOT).encode(), "Connection: close"))
 
 
+async def rejected_version(writer: asyncio.StreamWriter) -> None:
+    """Reject the call, as a service does that does not know the version of a watch any more."""
+    writer.write(make_response(410, b"", "Connection: close"))
+
+
+async def busy(writer: asyncio.StreamWriter) -> None:
+    """Reject the call because there are too many."""
+    writer.write(make_response(503, b"", "Connection: close"))
+
+
 async def no_response(writer: asyncio.StreamWriter) -> None:
     """Send nothing, and keep the connection open."""
     await asyncio.Event().wait()
