Fit the steps of a shutdown into any termination grace period

Cause: the listener and the idle connections were closed after 0.75 s at the earliest, while the shutdown was given up after the longest deadline + 0.55 s. For deadlines of up to 0.2 s the close was never reached, and for those just above it had no time for the last responses. Very short objectives with longer deadlines moved the close towards the end in the same way.

Change: ShutdownSchedule divides the grace period into acceptance, last responses and reading of them. A short period shortens the acceptance first, down to 0.45 s, as clients open connections for 0.4 s, then the other steps. At the time of the last response incomplete requests are rejected; at the end what is still open is aborted, but not before what has arrived has been read and answered, even if the event loop was held up. Where there is room (a deadline of 1.2 s, objectives of 0.2 s or more), nothing changes.

The tests of accept_time_s are replaced, as the function is gone.

--- a/storage_gateway/http/bounded_request_handler.py
+++ b/storage_gateway/http/bounded_request_handler.py
@@ -46,6 +46,7 @@
         )
         self.intake = RequestIntake()
         self.graceful_transport: GracefulTransport | None = None
+        self._linger_s = LINGER_S
         self._discarded_bytes = 0
         self._incoming_body: StreamReader = EMPTY_PAYLOAD  # of the latest request
 
@@ -56,7 +57,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Wrap the transport; called by asyncio."""
         assert isinstance(transport, asyncio.Transport)
-        self.graceful_transport = GracefulTransport(transport, LINGER_S, UNREAD_RESPONSE_TIMEOUT_S)
+        self.graceful_transport = GracefulTransport(transport, self._linger_s, UNREAD_RESPONSE_TIMEOUT_S)
         super().connection_made(self.graceful_transport)
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -69,6 +70,18 @@
             self._incoming_body.read_nowait()
         super().connection_lost(exc)
 
+    def limit_linger(self, linger_s: float) -> None:
+        """Limit the time for which a close that begins later lingers."""
+        self._linger_s = linger_s
+        if self.graceful_transport:
+            self.graceful_transport.linger_s = linger_s
+
+    def write_and_close(self, response: bytes) -> None:
+        """Send a response in place of one from the handler, and close once the client has read it."""
+        if self.graceful_transport:
+            self.graceful_transport.write(response)
+            self.graceful_transport.close()
+
     def is_closing(self) -> bool:
         """Return whether the connection has been closed, or only lingers."""
         return self.graceful_transport is None or self.graceful_transport.is_closing()
--- a/storage_gateway/http/client_connection.py
+++ b/storage_gateway/http/client_connection.py
@@ -139,7 +139,14 @@
         return not has_unread_data(transport)
 
     def is_stalled(self) -> bool:
-        """Return whether the client has stopped within a request, or takes too long to send it.
+        """Return whether the client has stopped within a request, or takes too long to send it."""
+        now = self.loop_time()
+        has_stopped = now - self.last_received_at >= STALL_TIMEOUT_S
+        is_slow = now - self.receiving_since >= SLOW_REQUEST_TIMEOUT_S
+        return (has_stopped or is_slow) and self.is_awaiting_data()
+
+    def is_awaiting_data(self) -> bool:
+        """Return whether a request has begun to arrive, and the rest depends on the client.
 
         What has arrived and is not read or handled yet counts as progress: the event loop may have been
         delayed.
@@ -149,10 +156,7 @@
             return False
         if self.has_queued_requests() or (self._body is not None and self._body.is_eof()):
             return False
-        now = self.loop_time()
-        has_stopped = now - self.last_received_at >= STALL_TIMEOUT_S
-        is_slow = now - self.receiving_since >= SLOW_REQUEST_TIMEOUT_S
-        return (has_stopped or is_slow) and not has_unread_data(transport)
+        return not has_unread_data(transport)
 
     def is_safe_to_close(self) -> bool:
         """Return whether a close would fail no request that can still complete, nor truncate a response."""
@@ -202,7 +206,8 @@
         self._observer.mark_receiving(self)
         self.parse(data)
         if self.intake.rejection is not None:
-            self._reject(REJECTION_STATUSES[self.intake.rejection])
+            self._observer.mark_rejected(self)
+            self.write_and_close(encode_last_response(REJECTION_STATUSES[self.intake.rejection]))
         elif self.intake.phase is IntakePhase.COMPLETE:
             self._observer.mark_busy(self)
 
@@ -243,13 +248,6 @@
         response.force_close()
         return response
 
-    def _reject(self, status: HTTPStatus) -> None:
-        """Send a response in place of one from the handler, and close."""
-        self._observer.mark_rejected(self)
-        if self.graceful_transport:
-            self.graceful_transport.write(encode_last_response(status))
-            self.graceful_transport.close()
-
     def _incomplete_head_timed_out(self) -> bool:
         if self.has_queued_requests() or self._body is not None:
             return False  # the head is complete
--- a/storage_gateway/http/connection_tracker.py
+++ b/storage_gateway/http/connection_tracker.py
@@ -174,6 +174,24 @@
             if connection.is_safe_to_close():
                 connection.evict()
 
+    def limit_linger(self, linger_s: float) -> None:
+        """Limit the time that the clients of all open connections have to read their last response."""
+        for connection in self.open:
+            connection.limit_linger(linger_s)
+
+    def reject_incomplete(self) -> None:
+        """Reject all requests that have not arrived completely; what has arrived unread may complete one."""
+        for connection in self.receiving.copy():
+            if connection.is_awaiting_data():
+                self.mark_rejected(connection)
+                connection.write_and_close(self.incomplete_request_response)
+                self.incomplete_rejected += 1
+
+    def abort_all(self) -> None:
+        """Abort all connections."""
+        for connection in self.open.copy():
+            connection.evict()
+
     def status_fields(self) -> dict[str, object]:
         """Return the fields of the status line, and reset the counts of closed connections."""
         fields: dict[str, object] = {
--- a/storage_gateway/http/graceful_transport.py
+++ b/storage_gateway/http/graceful_transport.py
@@ -15,14 +15,17 @@
 
     Args:
         inner: the transport of the connection.
-        linger_s: seconds that the peer has to read the last response and close.
+        linger_s: initial value of the attribute.
         max_flush_s: seconds after ``close`` at which buffered data is discarded that could not be sent.
+
+    Attributes:
+        linger_s: seconds that the peer has to read the last response and close; applies to a later close.
     """
 
     def __init__(self, inner: asyncio.Transport, linger_s: float, max_flush_s: float) -> None:
         super().__init__()
         self._inner = inner
-        self._linger_s = linger_s
+        self.linger_s = linger_s
         self._max_flush_s = max_flush_s
         self._loop = asyncio.get_running_loop()
         self._linger_timer: asyncio.TimerHandle | None = None
@@ -32,7 +35,7 @@
         if self.is_closing():
             return
         flush_deadline = self._loop.time() + self._max_flush_s
-        self._linger_timer = self._loop.call_later(self._linger_s, self._end_linger, flush_deadline)
+        self._linger_timer = self._loop.call_later(self.linger_s, self._end_linger, flush_deadline)
         try:
             self._inner.resume_reading()
             self._inner.write_eof()
@@ -82,6 +85,6 @@
 
     def _end_linger(self, flush_deadline: float) -> None:
         if self.get_write_buffer_size() and self._loop.time() < flush_deadline:
-            self._linger_timer = self._loop.call_later(self._linger_s, self._end_linger, flush_deadline)
+            self._linger_timer = self._loop.call_later(self.linger_s, self._end_linger, flush_deadline)
         else:
             self.abort()
--- a/storage_gateway/http/server.py
+++ b/storage_gateway/http/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import socket
 from collections.abc import Callable
 from http import HTTPStatus
@@ -12,6 +13,7 @@
 from storage_gateway.config import Address, GatewayConfig
 from storage_gateway.errors import ProtocolError
 from storage_gateway.http.aiohttp_internals import make_request_factory
+from storage_gateway.http.bounded_request_handler import LINGER_S
 from storage_gateway.http.client_connection import CLOSE_RETRY_INTERVAL_S, ClientConnection
 from storage_gateway.http.connection_tracker import ConnectionTracker
 from storage_gateway.http.listener import Listener
@@ -27,6 +29,7 @@
 READINESS_PATH = "/up"
 METHODS = ("GET", "PUT")
 BODY_TIMEOUT_S = 1.5  # for the body of a request to arrive
+MIN_CLOSE_PASSES = 2  # in the first, data is read; by the second, a late request has its response
 
 
 class HttpServer:
@@ -87,20 +90,39 @@
         host, port = self.listener.socket.getsockname()[:2]
         self.address = Address(host, port)
 
-    async def close(self) -> None:
-        """Stop accepting connections and close idle ones; return once all requests have their response.
+    async def close(self, response_due: float = math.inf, linger_s: float = LINGER_S) -> None:
+        """Stop accepting connections, close idle ones, and return once the others have closed.
 
-        This includes requests in progress and requests whose first bytes have arrived.
+        Requests in progress and requests whose first bytes have arrived get their response before.
+
+        Args:
+            response_due: event loop time in seconds at which a request that is still incomplete is rejected.
+            linger_s: seconds that clients then have to read the last responses; the connections that are
+                still open after that are aborted.
         """
         self.is_closing = True
         if self.listener:
             self.listener.close()
-        while self.connections.open:
-            self.connections.evict_idle()
-            await asyncio.sleep(CLOSE_RETRY_INTERVAL_S)
+        self.connections.limit_linger(linger_s)
+        await self._close_idle_connections(response_due)
+        self.connections.reject_incomplete()
+        await self._close_idle_connections(response_due + linger_s)
+        self.connections.abort_all()
         if self.listener:
             await self.listener.wait_closed()
 
+    async def _close_idle_connections(self, until: float) -> None:
+        """Close the connections that become idle, until none is open or a time of the event loop has passed.
+
+        Even if the event loop was held up until then, requests that have arrived meanwhile are read and get
+        their response.
+        """
+        passes = 0
+        while self.connections.open and (passes < MIN_CLOSE_PASSES or self.executor.loop.time() < until):
+            self.connections.evict_idle()
+            passes += 1
+            await asyncio.sleep(CLOSE_RETRY_INTERVAL_S)
+
     def status_fields(self) -> dict[str, object]:
         """Return the fields of the status line: the client connections by state, and those closed early."""
         return self.connections.status_fields()
--- a/storage_gateway/service.py
+++ b/storage_gateway/service.py
@@ -15,13 +15,13 @@
 from storage_gateway.endpoints.discovery import DiscoveryClient
 from storage_gateway.endpoints.registry import EndpointRegistry, EndpointUpdate
 from storage_gateway.errors import ConfigurationError, ProtocolError
-from storage_gateway.http.bounded_request_handler import LINGER_S
 from storage_gateway.http.node_client import NodeClient
 from storage_gateway.http.server import HttpServer
 from storage_gateway.lifecycle import RequestExecutor
 from storage_gateway.logging import configure_logging
 from storage_gateway.memory import MemoryBudget, configure_garbage_collection, read_resident_bytes
 from storage_gateway.program import run_program
+from storage_gateway.shutdown_schedule import MIN_ACCEPT_TIME_S, ShutdownSchedule
 
 if TYPE_CHECKING:
     from storage_gateway.sftp_service import SftpService
@@ -29,27 +29,11 @@
 # Without a message of discovery, the gateway reports that it is ready after these seconds.
 READY_TIMEOUT_S = 1.0  # without a cached list: there is nothing to wait for but discovery
 CACHED_READY_TIMEOUT_S = 8.5  # with one that is not used yet; platforms expect a restart to take 10 s at most
-MIN_ACCEPT_TIME_S = 0.75  # after SIGTERM, requests are accepted for at least this long
-RESERVED_LATENCY_OBJECTIVES = 2.0  # for the last requests accepted, in multiples of the shortest objective
-EXIT_TIME_S = 0.15  # reserved for the exit of the process
+CLOSE_OVERRUN_S = 0.1  # for a close that the event loop has delayed; it takes from the time for the exit
 
 log = structlog.get_logger()
 
 
-def accept_time_s(response_time_s: float, latency_objectives_s: list[float]) -> float:
-    """Return for how many seconds a gateway that shuts down still accepts requests.
-
-    No other instance serves its clients until it is back, so it accepts requests for as long as the class
-    with the shortest latency objective can be served. Requests of slower classes still have their response
-    within ``response_time_s``.
-
-    Args:
-        response_time_s: seconds from now within which the last response is sent.
-        latency_objectives_s: the latency objective of each request class.
-    """
-    return max(MIN_ACCEPT_TIME_S, response_time_s - RESERVED_LATENCY_OBJECTIVES * min(latency_objectives_s))
-
-
 class Gateway:
     """One gateway instance with all its parts. It must be created in a running event loop."""
 
@@ -135,13 +119,17 @@
         Requests are still accepted for a while, as their clients have no other instance to send them to.
         Then the listeners and the idle connections are closed.
         """
-        log.info("shutdown_started", pending=len(self._executor.pending))
-        response_time_s = self._config.termination_grace_period_s() - EXIT_TIME_S
-        self._executor.begin_shutdown(response_time_s - LINGER_S)
+        started_at = self._loop.time()
+        schedule = ShutdownSchedule.fit(
+            self._config.termination_grace_period_s(), self._latency_objectives_s()
+        )
+        log.info("shutdown_started", pending=len(self._executor.pending), schedule=schedule)
+        self._executor.begin_shutdown(schedule.response_time_s)
         try:
-            async with asyncio.timeout(response_time_s):
+            async with asyncio.timeout(schedule.close_time_s + CLOSE_OVERRUN_S):
                 await asyncio.gather(
-                    self._close_http_server(response_time_s), self._close_sftp_service(response_time_s)
+                    self._close_http_server(schedule, started_at),
+                    self._close_sftp_service(schedule, started_at),
                 )
         except TimeoutError:
             log.warning("shutdown_timed_out", pending=len(self._executor.pending))
@@ -190,14 +178,14 @@
     def _latency_objectives_s(self) -> list[float]:
         return [request_class.latency_objective_s for request_class in self._config.settings.classes]
 
-    async def _close_http_server(self, response_time_s: float) -> None:
-        await asyncio.sleep(accept_time_s(response_time_s, self._latency_objectives_s()))
-        await self._http_server.close()
+    async def _close_http_server(self, schedule: ShutdownSchedule, started_at: float) -> None:
+        await asyncio.sleep(schedule.accept_time_s)
+        await self._http_server.close(started_at + schedule.response_time_s, schedule.linger_s)
 
-    async def _close_sftp_service(self, response_time_s: float) -> None:
-        await asyncio.sleep(MIN_ACCEPT_TIME_S)
+    async def _close_sftp_service(self, schedule: ShutdownSchedule, started_at: float) -> None:
+        await asyncio.sleep(min(MIN_ACCEPT_TIME_S, schedule.accept_time_s))
         if self._sftp_service is not None:
-            await self._sftp_service.close(response_time_s - MIN_ACCEPT_TIME_S)
+            await self._sftp_service.close(started_at + schedule.close_time_s - self._loop.time())
 
 
 async def run_gateway(config: GatewayConfig) -> None:
--- a/tests/http/test_shutdown.py
+++ b/tests/http/test_shutdown.py
@@ -74,3 +74,45 @@
 
         assert (await self.receive(client)).startswith(b"HTTP/1.1 200 ")
         await closing
+
+    async def test_request_that_stays_incomplete_is_rejected_before_the_connection_closes(self) -> None:
+        await self.start_server(respond_at_once)
+        client = self.open_socket()
+        client.sendall(encode_request("t")[:40])
+        await self.only_connection(lambda connection: connection.receiving_since)
+
+        closing = asyncio.create_task(self.server.close(self.executor.loop.time() + 0.05, linger_s=0.1))
+
+        response = await self.receive(client)
+        assert response.startswith(b"HTTP/1.1 503 ")
+        assert b"Connection: close" in response
+        async with asyncio.timeout(5):  # the client does not close: the connection is aborted
+            await closing
+        assert not self.server.connections.open
+
+    async def test_requests_have_their_responses_even_if_the_server_was_held_up_past_the_end(self) -> None:
+        # Guards against an end that closes connections whose requests have arrived and are not read yet.
+        await self.start_server(respond_at_once)
+        clients = [self.open_socket() for _ in range(3)]
+        await self.wait_until(lambda: len(self.server.connections.open) == len(clients))
+        for number, client in enumerate(clients):
+            client.sendall(encode_request(f"t{number}"))
+
+        await self.server.close(self.executor.loop.time() - 1.0, linger_s=0.0)
+
+        for client in clients:
+            assert (await self.receive(client)).startswith(b"HTTP/1.1 ")
+
+    async def test_requests_at_a_node_that_hangs_have_their_responses_before_the_server_closes(self) -> None:
+        await self.start_server(never_respond)
+        clients = [self.open_socket() for _ in range(3)]
+        for number, client in enumerate(clients):
+            client.sendall(encode_request(f"t{number}"))
+        await self.wait_until(lambda: len(self.node.request_counts) == len(clients))
+
+        self.executor.begin_shutdown(0.1)
+        await self.server.close(self.executor.loop.time() + 0.1, linger_s=0.05)
+
+        for client in clients:
+            assert (await self.receive(client)).startswith((b"HTTP/1.1 502 ", b"HTTP/1.1 503 "))
+        assert not self.server.connections.open
--- a/tests/service/test_service.py
+++ b/tests/service/test_service.py
@@ -1,14 +1,12 @@
-"""When a gateway is ready, and for how long it accepts requests during a shutdown."""
+"""When a gateway is ready."""
 
 import unittest
 from dataclasses import replace
 from typing import Any
 from unittest import mock
 
-import pytest
-
 from storage_gateway import service
-from storage_gateway.service import MIN_ACCEPT_TIME_S, Gateway, accept_time_s
+from storage_gateway.service import Gateway
 from tests.support.configuration import make_config, make_two_class_settings
 from tests.support.endpoints import discovery_entry, discovery_snapshot
 
@@ -19,17 +17,6 @@
     return Gateway(make_config(settings=settings, cached_endpoints=discovery_snapshot(*known)))
 
 
-class AcceptTimeTest(unittest.TestCase):
-    """The time depends on the shortest latency objective, and has a minimum."""
-
-    def test_requests_are_accepted_while_the_shortest_latency_objective_can_be_met(self) -> None:
-        assert accept_time_s(3.55, [0.2, 0.3, 1.5]) == pytest.approx(3.15)
-        assert accept_time_s(3.55, [6.0, 0.8]) == pytest.approx(1.95)
-
-    def test_requests_sent_before_clients_notice_the_shutdown_are_accepted(self) -> None:
-        assert accept_time_s(1.0, [2.0]) == MIN_ACCEPT_TIME_S
-
-
 class ReadinessTest(unittest.IsolatedAsyncioTestCase):
     """A gateway with cached endpoints waits for discovery, but not for longer than a start may take."""
 
