--- a/storage_gateway/http/connection_tracker.py
+++ b/storage_gateway/http/connection_tracker.py
@@ -53,7 +53,7 @@
         self._loop = loop
 
     def ensure_capacity(self) -> bool:
-        """Return whether one more connection may be accepted; at the limit, close one to make room.
+        """Return whether one more connection may be accepted; at the limit, close one first.
 
         A connection whose invalid request has been rejected is evicted first, then the oldest that was never
         used, then the longest idle one. If none can be, or all that can be were active later, a request that
--- a/storage_gateway/policy_state/volume_table.py
+++ b/storage_gateway/policy_state/volume_table.py
@@ -41,7 +41,7 @@
         capacity = rate + self._max_units if rate else 0.0
         volume = self.by_id.get(volume_id)
         if volume is None:
-            self._make_room()
+            self._evict_least_recently_used()
             filling_since = max(started_at, self.forgotten_at)
             volume = Volume(TokenBucket(capacity, now), TokenBucket(0.0, filling_since))
             self.by_id[volume_id] = volume
@@ -77,7 +77,7 @@
         if span_s > 0 or node.shard not in reported:
             reported[node.shard] = UsageReport(rate, now)
 
-    def _make_room(self) -> None:
+    def _evict_least_recently_used(self) -> None:
         """Forget the least recently used volume without open requests, if there are as many as the limit."""
         if not self._max_volumes or len(self.by_id) < self._max_volumes:
             return
--- a/tests/http/test_listener.py
+++ b/tests/http/test_listener.py
@@ -85,8 +85,8 @@
 class BacklogTest(HttpServerCase):
     """Requests that have waited in the backlog for a connection to become free."""
 
-    async def told_timeout_ms(self, unread_age_s: float, timeout_ms: int) -> int | None:
-        """Return the time that the node is told for a request that waited; None if it gets none."""
+    async def forwarded_timeout_ms(self, unread_age_s: float, timeout_ms: int) -> int | None:
+        """Return the timeout that the node receives for a request that waited; None if it gets none."""
         release = asyncio.Event()
 
         async def respond(trace_id: str) -> bytes:
@@ -107,21 +107,21 @@
         with mock.patch.object(listener_module, "unread_data_age_s", return_value=unread_age_s):
             release.set()
             self.response = await self.receive(waiting, b"\r\n\r\n")
-        told = [re.search(r"X-Expires-In-Ms: (\d+)", head) for head in self.node.heads if "waits" in head]
-        return int(told[0][1]) if told and told[0] else None
+        timeouts = [re.search(r"X-Expires-In-Ms: (\d+)", head) for head in self.node.heads if "waits" in head]
+        return int(timeouts[0][1]) if timeouts and timeouts[0] else None
 
     async def test_time_in_the_backlog_counts_against_the_timeout_of_the_client(self) -> None:
         """Guards against execution for clients that have left, after they waited for a free connection."""
-        told_ms = await self.told_timeout_ms(unread_age_s=1.0, timeout_ms=1500)
+        forwarded_ms = await self.forwarded_timeout_ms(unread_age_s=1.0, timeout_ms=1500)
         assert self.response.startswith(b"HTTP/1.1 200 ")
-        assert told_ms is not None
-        assert 0 < told_ms <= 500
+        assert forwarded_ms is not None
+        assert 0 < forwarded_ms <= 500
 
     async def test_request_whose_time_is_over_in_the_backlog_is_rejected_unsent(self) -> None:
-        assert await self.told_timeout_ms(unread_age_s=2.0, timeout_ms=1500) is None
+        assert await self.forwarded_timeout_ms(unread_age_s=2.0, timeout_ms=1500) is None
         assert self.response.startswith(b"HTTP/1.1 503 ")
 
     async def test_only_the_first_request_of_a_connection_has_waited(self) -> None:
-        await self.told_timeout_ms(unread_age_s=1.0, timeout_ms=1500)
+        await self.forwarded_timeout_ms(unread_age_s=1.0, timeout_ms=1500)
         (connection,) = self.server.connections.open
         assert connection.waiting_time_s() == 0.0
--- a/tests/policy/test_memory.py
+++ b/tests/policy/test_memory.py
@@ -56,7 +56,7 @@
         assert len(state.timers.heap) <= MAX_RECORDS
         assert sum(len(node.excess_tokens) for node in state.nodes.by_id.values()) <= MAX_RECORDS
 
-    def test_volume_with_an_open_request_is_kept(self) -> None:
+    def test_volume_with_an_open_request_is_not_evicted(self) -> None:
         driver = self.make_driver()
         driver.submit("open", volume_id=7)
         volume = driver.volumes[7]
@@ -64,13 +64,13 @@
         assert driver.volumes.get(7) is not volume, "it was served and forgotten"
 
         assert api.SendAttempt("again", 1) in driver.submit("again", volume_id=7)
-        kept = driver.volumes[7]
+        second_volume = driver.volumes[7]
         for number in range(3 * MAX_RECORDS):
             driver.submit(f"n{number}", volume_id=100 + number, shard=2)  # a shard that no node holds
-        assert driver.volumes[7] is kept
-        assert kept.open_requests == 1
+        assert driver.volumes[7] is second_volume
+        assert second_volume.open_requests == 1
         driver.end_attempt("again", api.AttemptOutcome.SERVED)
-        assert kept.open_requests == 0
+        assert second_volume.open_requests == 0
 
     def test_forgotten_volume_does_not_get_its_rate_limit_again(self) -> None:
         driver = self.make_driver(rate_limit=2.0, rate_limit_burst=10.0)
