Cancel the watches of discovery addresses in between when it moves again

Seen by reading: several reloads in a row to silent addresses left a watch for each, and a watch may now have up to 8 pending calls, while the descriptors reserved for discovery allow two watches.

Cause: a move only added a watch; one that never had a list was cancelled only by a later one that had.

Change: a move cancels all watches but the oldest, whose list is in use. The latest address is the configured one, so nobody waits for those in between.

Shown: test_moves_to_silent_addresses_in_a_row_leave_two_watches, which failed before.

--- a/storage_gateway/endpoints/discovery.py
+++ b/storage_gateway/endpoints/discovery.py
@@ -96,9 +96,12 @@
 
         The new watch fetches the whole list first, as versions of the old address mean nothing at the new
         one. The old watch continues until then, so that no change is missed and no delay of the old watch
-        holds up the new one.
+        holds up the new one. Watches of addresses in between are cancelled, so that several moves in a row
+        leave no more than two.
         """
         self.address = address
+        self._cancel_watches(self.watches[1:])
+        del self.watches[1:]
         self.watches.append(EndpointWatch(self, self._open_transport(address), None))
 
     def stop(self) -> None:
@@ -141,11 +144,9 @@
 
         From now on, a change from an older watch could only overwrite newer state.
         """
-        self._superseded = [older for older in self._superseded if not older.is_closed()]
-        while self.watches and self.watches[0] is not watch:
-            older = self.watches.pop(0)
-            older.cancel()
-            self._superseded.append(older)
+        position = self.watches.index(watch)
+        self._cancel_watches(self.watches[:position])
+        del self.watches[:position]
 
     def is_moving_to(self, watch: EndpointWatch) -> bool:
         """Return whether an older watch continues until this one has its list."""
@@ -160,6 +161,13 @@
             **(self.watches[-1].status_fields() if self.watches else {}),
         }
 
+    def _cancel_watches(self, watches: list[EndpointWatch]) -> None:
+        """Cancel watches whose end is awaited later."""
+        self._superseded = [watch for watch in self._superseded if not watch.is_closed()]
+        for watch in watches:
+            watch.cancel()
+        self._superseded += watches
+
     def _use_unconfirmed_list(self) -> None:
         """Use the cached list after its timeout, although it may be out of date."""
         if (cached_list := self._take_cached_list()) is None:
--- a/tests/endpoints/test_discovery.py
+++ b/tests/endpoints/test_discovery.py
@@ -109,6 +109,27 @@
             async with asyncio.timeout(5):
                 await events.get()
 
+    async def test_moves_to_silent_addresses_in_a_row_leave_two_watches(self) -> None:
+        # Otherwise each move adds a watch with its pending calls, until no descriptor is left.
+        old = await ScriptedDiscovery(snapshot, no_response).start()
+        silent = await ScriptedDiscovery(no_response).start()
+        self.addCleanup(old.stop)
+        self.addCleanup(silent.stop)
+        events = asyncio.Queue[api.Event]()
+        client = DiscoveryClient(Address("127.0.0.1", old.port), EndpointRegistry({}), events.put_nowait)
+        client.start()
+        self.addCleanup(client.stop)
+        async with asyncio.timeout(5):
+            await events.get()
+            watches = [client.watches[0]]
+            for _ in range(5):
+                client.move(Address("127.0.0.1", silent.port))
+                watches.append(client.watches[-1])
+                await silent.targets.get()
+            await wait_until(lambda: watches[-2].is_closed())
+        assert client.watches == [watches[0], watches[-1]]
+        assert [watch.is_closed() for watch in watches] == [False, True, True, True, True, False]
+
     async def test_stop_ends_all_watches_and_closes_their_connections(self) -> None:
         old = await ScriptedDiscovery(no_response).start()
         new = await ScriptedDiscovery(snapshot, no_response).start()
