--- a/storage_gateway/endpoints/call_schedule.py
+++ b/storage_gateway/endpoints/call_schedule.py
@@ -50,7 +50,7 @@
     max_s: float
 
 
-SHARED_INTERVALS = CallIntervals(first_s=1.5, min_s=2.25, max_s=3.0)
+SHARED_INTERVALS = CallIntervals(first_s=1.5, min_s=2.5, max_s=3.0)
 LOCAL_INTERVALS = CallIntervals(first_s=1.0, min_s=1.0, max_s=1.4)  # a local agent is called at no cost
 
 
--- a/tests/endpoints/test_slow_discovery.py
+++ b/tests/endpoints/test_slow_discovery.py
@@ -249,7 +249,7 @@
     return sum(time >= BREAK_AT_S for time in service.call_times)
 
 
-@pytest.mark.parametrize(("gateway_count", "interval_s"), [(1, 1.0), (3, 2.25), (200, 2.25)])
+@pytest.mark.parametrize(("gateway_count", "interval_s"), [(1, 1.0), (3, 2.5), (200, 2.5)])
 def test_silent_service_gets_a_call_only_in_each_interval(gateway_count: int, interval_s: float) -> None:
     def go_silent(service: SimulatedDiscovery) -> None:
         service.silence_watches()
