Publish nothing from a watch once it has been cancelled

Seen in a test: a message that had arrived when a watch was cancelled was still published, as the task group cancels the calls one iteration of the event loop after the watch.

Change: cancelling a watch cancels its calls at once. A call that ends while it is given up is not looked for in vain, and a message wakes the wait for the next call only if that has become due earlier.

Shown: test_message_that_arrives_as_the_watch_is_cancelled_is_not_published, which failed before.

--- a/storage_gateway/endpoints/pending_calls.py
+++ b/storage_gateway/endpoints/pending_calls.py
@@ -79,8 +79,9 @@
         self._calls.append(call)
 
     def remove(self, call: DiscoveryCall) -> None:
-        """Remove a call that has ended."""
-        self._calls.remove(call)
+        """Remove a call that has ended; it may have been given up at the same time."""
+        if call in self._calls:
+            self._calls.remove(call)
 
     def record_answer(self, call: DiscoveryCall) -> float | None:
         """Record that a call has an answer, or a watch another message, and give up all other calls.
@@ -109,6 +110,11 @@
             if is_expired(now - call.waiting_since, is_oldest=position == 0):
                 self._give_up(call, GiveUpReason.TIMEOUT)
 
+    def cancel_all(self) -> None:
+        """Cancel all calls; their watch has been cancelled."""
+        for call in self._calls:
+            call.task.cancel()
+
     def list_unanswered(self) -> list[DiscoveryCall]:
         """Return the calls without an answer, the oldest first."""
         return [call for call in self._calls if not call.is_answered]
--- a/storage_gateway/endpoints/watch.py
+++ b/storage_gateway/endpoints/watch.py
@@ -81,7 +81,8 @@
         self._version = version
         self._loop = asyncio.get_running_loop()
         self._schedule = CallSchedule(owner.backoff)
-        self._rescheduled = asyncio.Event()  # set when the next call may have become due earlier
+        self._waits_until = 0.0  # event loop time at which the next call was due when the wait for it began
+        self._rescheduled = asyncio.Event()  # set when the next call has become due earlier than that
         self._calls = PendingCalls(transport.address, self._loop)
         self._task = asyncio.create_task(self._run())
 
@@ -102,7 +103,12 @@
         }
 
     def cancel(self) -> None:
-        """Cancel the watch; it publishes nothing from now on."""
+        """Cancel the watch; it publishes nothing from now on.
+
+        The task group would cancel the calls only in the next iteration of the event loop, and a message that
+        has arrived would be published before.
+        """
+        self._calls.cancel_all()
         self._task.cancel()
 
     def is_closed(self) -> bool:
@@ -122,12 +128,17 @@
                 await self._wait_until_call_is_due()
 
     async def _wait_until_call_is_due(self) -> None:
-        while self._schedule.next_call_at > self._loop.time():
+        while (due := self._schedule.next_call_at) > self._loop.time():
+            self._waits_until = due
             self._rescheduled.clear()
             with suppress(TimeoutError):
-                async with asyncio.timeout_at(self._schedule.next_call_at):
+                async with asyncio.timeout_at(due):
                     await self._rescheduled.wait()
 
+    def _wake_if_due_earlier(self) -> None:
+        if self._schedule.next_call_at < self._waits_until:
+            self._rescheduled.set()
+
     def _start_call(self, tasks: asyncio.TaskGroup) -> None:
         call = DiscoveryCall(self._version, self._loop.time())
         self._schedule_next_call()
@@ -141,7 +152,7 @@
             others_are_pending=bool(self._calls.list_unanswered()),
             is_moving=self._owner.is_moving_to(self),
         )
-        self._rescheduled.set()
+        self._wake_if_due_earlier()
 
     async def _run_call(self, call: DiscoveryCall) -> None:
         """Follow the list until the connection ends or fails.
@@ -175,7 +186,7 @@
             self._schedule.record_end(now, others_are_pending=bool(self._calls), is_moving=is_moving)
         if drops_version:
             self._version = None
-        self._rescheduled.set()
+        self._wake_if_due_earlier()
 
     async def _fetch_list(self, call: DiscoveryCall) -> int:
         """Publish the whole list, and return its version."""
@@ -209,7 +220,7 @@
                     else:
                         self._publish(await read_update(message.value, timeout))
                     self._schedule.record_message(self._loop.time())
-                    self._rescheduled.set()
+                    self._wake_if_due_earlier()
             assembler.end()
 
     def _record_answer(self, call: DiscoveryCall) -> None:
